meta: Lay out the libraries, the reducer's contract and the checks

Cause: the parts of the system are to be built side by side and need agreed types first. Before: nothing.

--- /dev/null
+++ b/libraries/libbase/rendezvous.cpp
@@ -0,0 +1,22 @@
+#include "libbase/rendezvous.h"
+
+#include "libbase/digest.h"
+
+namespace chivevane {
+
+std::string_view rendezvous_owner(std::string_view key, std::span<const std::string> members)
+{
+    const auto key_hash = stable_hash(key);
+    std::string_view owner;
+    std::uint64_t highest = 0;
+    for (const auto& member : members) {
+        const auto weight = stable_hash(member, key_hash);
+        if (owner.empty() || weight > highest || (weight == highest && member < owner)) {
+            owner = member;
+            highest = weight;
+        }
+    }
+    return owner;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libdocument/document.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "libdocument/organisation.h"
+#include "libdocument/route.h"
+#include "libdocument/service_policy.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivevane {
+
+/// The rules of one team: one document is written, checked and put in force as a whole.
+struct document {
+    std::string m_name;
+    std::vector<organisation> m_organisations;
+    std::vector<service_policy> m_services;
+    std::vector<route> m_routes;
+    std::vector<std::string> m_datacentres_out; ///< Data centres that get no new work.
+
+    bool operator==(const document&) const = default;
+};
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libdocument/service_policy.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace chivevane {
+
+/// What the document says about one service of upstreams.
+struct service_policy {
+    std::string m_name;
+    double m_floor = 0.5; ///< Share of the capacity that ejection must leave in use, 0 to 1.
+
+    bool operator==(const service_policy&) const = default;
+};
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/configuration/configuration.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "libpolicy/configuration/configuration_events.h"
+#include "libpolicy/configuration/configuration_state.h"
+#include "libpolicy/context.h"
+#include "libpolicy/membership/membership_state.h"
+
+#include <string_view>
+
+namespace chivevane::configuration {
+
+/// Starts to learn the newest documents from the store and from peers.
+void start(configuration_state& state, context& surroundings);
+
+/// Writes a submitted document to the store, or refuses it.
+void on_submitted(configuration_state& state, context& surroundings,
+                  const document_submitted& submission);
+
+/// Handles the store's answer to an operation of a document purpose.
+void on_store_response(configuration_state& state, context& surroundings,
+                       const store_response& response);
+
+/// Puts a peer's copy in force if it is newer.
+void on_fetched(configuration_state& state, context& surroundings, const document_fetched& answer);
+
+/// Compares a peer's digest and asks for its revisions when they differ.
+void on_heartbeat(configuration_state& state, context& surroundings, const heartbeat& news);
+
+/// Compares a peer's revisions with those in force, fetches newer ones, answers a question.
+void on_revisions(configuration_state& state, context& surroundings, const host_identity& sender,
+                  const document_revisions& revisions, const membership_state& members);
+
+/// Repeats store calls that are due.
+void on_timer(configuration_state& state, context& surroundings, const membership_state& members);
+
+/// Hash over the names and revisions in force.
+std::uint64_t digest_of(const configuration_state& state);
+
+/// Whether requests may be judged by the documents in force: they are known to be the newest that
+/// the store or the peers know, as of a bounded time ago.
+bool may_serve(const configuration_state& state, instant now);
+
+/// The owner of the key with this digest; null if no document in force has it.
+const key_owner* find_key(const configuration_state& state, std::string_view digest);
+
+/// Whether a data centre is taken out by any document that names `service`.
+bool is_datacentre_out(const configuration_state& state, std::string_view service,
+                       std::string_view datacentre);
+
+/// When `on_timer` is due.
+instant next_wakeup(const configuration_state& state);
+
+} // namespace chivevane::configuration
--- /dev/null
+++ b/libraries/libpolicy/configuration/configuration_events.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libpolicy/configuration/stored_document.h"
+#include "libpolicy/effect.h"
+#include "libpolicy/identifiers.h"
+#include "libwire/store_operation.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chivevane {
+
+/// The store answered, or the wait for it ended.
+struct store_response {
+    std::uint64_t m_operation_id = 0;
+    store_purpose m_purpose = store_purpose::registration;
+    store_outcome m_outcome;
+
+    bool operator==(const store_response&) const = default;
+};
+
+/// An operator wants a document in force. The exchange is answered when the outcome is known.
+struct document_submitted {
+    exchange_id m_exchange = 0;
+    std::string m_name;
+    std::string m_text;
+    std::optional<std::uint64_t> m_expected_revision; ///< 0: must not exist. Empty: any.
+    std::string m_edit_id;                            ///< Unique; settles lost answers.
+
+    bool operator==(const document_submitted&) const = default;
+};
+
+/// A host answered a `fetch_document`; empty if it could not.
+struct document_fetched {
+    std::string m_name;
+    std::optional<stored_document> m_document;
+
+    bool operator==(const document_fetched&) const = default;
+};
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/gate/gate_events.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "libbase/instant.h"
+#include "libwire/upstream_summary.h"
+
+#include <cstdint>
+#include <string>
+
+namespace chivevane {
+
+/// An upstream announced itself to its host. It is gone when no announcement follows in time.
+struct upstream_announced {
+    std::string m_endpoint; ///< Unique on the host.
+    std::string m_service;
+    std::string m_ip;
+    std::uint16_t m_port = 0;
+    std::uint32_t m_slots = 1;
+    upstream_warmth m_warmth = upstream_warmth::cold;
+    upstream_phase m_phase = upstream_phase::serving;
+    std::uint64_t m_run = 0; ///< Changes when the upstream starts anew.
+    duration m_time_to_live = 5s;
+
+    bool operator==(const upstream_announced&) const = default;
+};
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/ingress/caller_request.cpp
@@ -0,0 +1,148 @@
+#include "libpolicy/ingress/caller_request.h"
+
+#include "libbase/digest.h"
+#include "libdocument/match_route.h"
+#include "libpolicy/configuration/configuration.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace chivevane::ingress {
+
+namespace {
+
+constexpr std::string_view bearer_scheme = "Bearer ";
+
+std::size_t count_fields(const request_head& head, std::string_view name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(head.m_fields.begin(), head.m_fields.end(), [name](const http_field& field) {
+            return equal_ignoring_case(field.m_name, name);
+        }));
+}
+
+/// Whether the head is one that only one reading exists of (RFC 9112 sections 3.2 and 11.2).
+bool is_well_formed(const request_head& head)
+{
+    const bool has_control_character =
+        std::any_of(head.m_target.begin(), head.m_target.end(),
+                    [](unsigned char character) { return character <= ' ' || character == 0x7f; });
+    return count_fields(head, "Host") == 1 && head.m_target.starts_with('/') &&
+           !has_control_character && count_fields(head, "Authorization") <= 1 &&
+           count_fields(head, "X-Api-Key") <= 1;
+}
+
+std::optional<std::string_view> key_of(const request_head& head)
+{
+    if (const auto field = find_field(head.m_fields, "Authorization")) {
+        if (equal_ignoring_case(field->substr(0, bearer_scheme.size()), bearer_scheme)) {
+            return field->substr(bearer_scheme.size());
+        }
+    }
+    return find_field(head.m_fields, "X-Api-Key");
+}
+
+std::string_view host_of(const request_head& head)
+{
+    const auto host = find_field(head.m_fields, "Host").value_or("");
+    return host.substr(0, host.rfind(':'));
+}
+
+std::string_view path_of(const request_head& head)
+{
+    const std::string_view target = head.m_target;
+    return target.substr(0, target.find('?'));
+}
+
+const route* find_route(const document& rules, const request_head& head)
+{
+    return match_route(rules, host_of(head), head.m_method, path_of(head));
+}
+
+caller_judgement judge_by(const document_in_force& held, const route* matched)
+{
+    return {held.m_rules, matched, held.m_stored.m_revision, {}, {}};
+}
+
+/// Looks for an open route in all documents; says what is missing otherwise.
+std::variant<caller_judgement, refusal_kind>
+judge_without_key(const configuration_state& configuration, const request_head& head)
+{
+    auto reason = refusal_kind::no_route;
+    for (const auto& [name, held] : configuration.m_documents) {
+        const auto* const matched = find_route(*held.m_rules, head);
+        if (matched == nullptr) {
+            continue;
+        }
+        if (matched->m_access == route_access::open_to_all) {
+            return judge_by(held, matched);
+        }
+        reason = refusal_kind::key_missing;
+    }
+    return reason;
+}
+
+std::variant<caller_judgement, refusal_kind>
+judge_with_owner(const configuration_state& configuration, const request_head& head,
+                 const key_owner& owner)
+{
+    const auto& held = configuration.m_documents.at(owner.m_document);
+    const auto* const matched = find_route(*held.m_rules, head);
+    if (matched == nullptr) {
+        auto elsewhere = judge_without_key(configuration, head);
+        const auto* const missing = std::get_if<refusal_kind>(&elsewhere);
+        if (missing != nullptr && *missing == refusal_kind::key_missing) {
+            return refusal_kind::route_forbidden;
+        }
+        return elsewhere;
+    }
+    auto judgement = judge_by(held, matched);
+    const auto& organisations = held.m_rules->m_organisations;
+    const auto found = std::find_if(
+        organisations.begin(), organisations.end(),
+        [&owner](const organisation& each) { return each.m_name == owner.m_organisation; });
+    judgement.m_organisation = owner.m_organisation;
+    judgement.m_limit = {found->m_rate, found->m_burst};
+    return judgement;
+}
+
+} // namespace
+
+std::variant<caller_judgement, refusal_kind> judge_caller(const configuration_state& configuration,
+                                                          const request_head& head)
+{
+    if (!is_well_formed(head)) {
+        return refusal_kind::malformed_request;
+    }
+    const auto key = key_of(head);
+    if (!key) {
+        return judge_without_key(configuration, head);
+    }
+    const auto* const owner = configuration::find_key(configuration, sha256_hex(*key));
+    if (owner != nullptr) {
+        return judge_with_owner(configuration, head, *owner);
+    }
+    auto open = judge_without_key(configuration, head);
+    const auto* const reason = std::get_if<refusal_kind>(&open);
+    if (reason != nullptr && *reason == refusal_kind::key_missing) {
+        return refusal_kind::key_unknown;
+    }
+    return open;
+}
+
+duration deadline_of(const request_head& head, const route& matched)
+{
+    const auto field = find_field(head.m_fields, "X-Request-Timeout-Ms").value_or("");
+    std::int64_t milliseconds = 0;
+    const auto* end = field.data() + field.size();
+    const auto [stop, problem] = std::from_chars(field.data(), end, milliseconds);
+    if (problem != std::errc{} || stop != end || milliseconds <= 0) {
+        return matched.m_timeout;
+    }
+    const std::chrono::milliseconds wanted{std::min<std::int64_t>(milliseconds, 3'600'000)};
+    return std::min<duration>(matched.m_timeout, wanted);
+}
+
+} // namespace chivevane::ingress
--- /dev/null
+++ b/libraries/libpolicy/node_state.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "libbase/random_engine.h"
+#include "libpolicy/admission/admission_state.h"
+#include "libpolicy/configuration/configuration_state.h"
+#include "libpolicy/gate/gate_state.h"
+#include "libpolicy/health/health_state.h"
+#include "libpolicy/host_settings.h"
+#include "libpolicy/ingress/ingress_state.h"
+#include "libpolicy/limits/limits_state.h"
+#include "libpolicy/membership/membership_state.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace chivevane {
+
+/// The whole state of one host's process.
+struct node_state {
+    host_settings m_settings;
+    random_engine m_random;
+    std::uint64_t m_last_id = 0;
+    ingress_state m_ingress;
+    gate_state m_gate;
+    limits_state m_limits;
+    health_state m_health;
+    admission_state m_admission;
+    membership_state m_membership;
+    configuration_state m_configuration;
+    std::optional<instant> m_leave_deadline; ///< Set once the host is told to leave.
+};
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/reduce.cpp
@@ -0,0 +1,206 @@
+#include "libpolicy/reduce.h"
+
+#include "libbase/result.h"
+#include "libpolicy/admission/admission.h"
+#include "libpolicy/configuration/configuration.h"
+#include "libpolicy/gate/gate.h"
+#include "libpolicy/health/health.h"
+#include "libpolicy/ingress/ingress.h"
+#include "libpolicy/limits/limits.h"
+#include "libpolicy/membership/membership.h"
+
+#include <algorithm>
+
+namespace chivevane {
+
+namespace {
+
+context make_context(node_state& node, instant now, std::int64_t wall_ms, effect_list& effects)
+{
+    return {now, wall_ms, node.m_settings, node.m_random, node.m_last_id, effects};
+}
+
+void handle(node_state& node, context& surroundings, const timer_fired&)
+{
+    membership::on_timer(node.m_membership, surroundings);
+    configuration::on_timer(node.m_configuration, surroundings, node.m_membership);
+    limits::on_timer(node.m_limits, surroundings, node.m_membership);
+    health::on_timer(node.m_health, surroundings, node.m_membership, node.m_configuration);
+    gate::on_timer(node, surroundings);
+    ingress::on_timer(node, surroundings);
+}
+
+void handle(node_state& node, context& surroundings, const leave_requested&)
+{
+    if (node.m_leave_deadline) {
+        emit(surroundings, stop_process{});
+        return;
+    }
+    node.m_leave_deadline = surroundings.m_now + node.m_settings.m_shutdown_limit;
+    node.m_ingress.m_is_leaving = true;
+    node.m_gate.m_is_leaving = true;
+    membership::leave(node.m_membership, surroundings);
+    limits::leave(node.m_limits, surroundings);
+}
+
+void handle(node_state& node, context& surroundings, const inbound_request& request)
+{
+    if (request.m_listener == listener_kind::caller) {
+        ingress::on_request(node, surroundings, request);
+    }
+    else {
+        gate::on_request(node, surroundings, request);
+    }
+}
+
+void handle(node_state& node, context& surroundings, const inbound_gone& gone)
+{
+    if (ingress::owns_exchange(node.m_ingress, gone.m_exchange)) {
+        ingress::on_gone(node, surroundings, gone.m_exchange);
+    }
+    else if (gate::owns_exchange(node.m_gate, gone.m_exchange)) {
+        gate::on_gone(node, surroundings, gone.m_exchange);
+    }
+}
+
+void handle(node_state& node, context& surroundings, const transfer_head& answer)
+{
+    if (ingress::owns_transfer(node.m_ingress, answer.m_transfer)) {
+        ingress::on_transfer_head(node, surroundings, answer);
+    }
+    else if (gate::owns_transfer(node.m_gate, answer.m_transfer)) {
+        gate::on_transfer_head(node, surroundings, answer);
+    }
+}
+
+void handle(node_state& node, context& surroundings, const transfer_ended& end)
+{
+    if (ingress::owns_transfer(node.m_ingress, end.m_transfer)) {
+        ingress::on_transfer_ended(node, surroundings, end);
+    }
+    else if (gate::owns_transfer(node.m_gate, end.m_transfer)) {
+        gate::on_transfer_ended(node, surroundings, end);
+    }
+}
+
+void handle(node_state& node, context& surroundings, const datagram_received& received)
+{
+    const auto& sender = received.m_sender;
+    std::visit(overloaded{
+                   [&](const heartbeat& news) {
+                       membership::on_heartbeat(node.m_membership, surroundings, news);
+                       configuration::on_heartbeat(node.m_configuration, surroundings, news);
+                   },
+                   [&](const document_revisions& revisions) {
+                       configuration::on_revisions(node.m_configuration, surroundings, sender,
+                                                   revisions, node.m_membership);
+                   },
+                   [&](const loan_request& request) {
+                       limits::on_loan_request(node.m_limits, surroundings, node.m_membership,
+                                               sender, request);
+                   },
+                   [&](const loan_response& response) {
+                       limits::on_loan_response(node.m_limits, surroundings, node.m_membership,
+                                                sender, response);
+                   },
+                   [&](const void_request& request) {
+                       gate::on_void_request(node, surroundings, sender, request);
+                   },
+                   [&](const void_response& response) {
+                       ingress::on_void_response(node, surroundings, response);
+                   },
+                   [&](const crash_report& report) {
+                       gate::on_crash_report(node, surroundings, sender, report);
+                   },
+                   [&](const health_report& report) {
+                       health::on_report(node.m_health, surroundings, sender, report);
+                   },
+               },
+               received.m_message);
+}
+
+void handle(node_state& node, context& surroundings, const store_response& response)
+{
+    switch (response.m_purpose) {
+    case store_purpose::registration:
+        membership::on_store_outcome(node.m_membership, surroundings, response.m_outcome);
+        break;
+    case store_purpose::document_read:
+    case store_purpose::document_write:
+    case store_purpose::document_watch:
+        configuration::on_store_response(node.m_configuration, surroundings, response);
+        break;
+    case store_purpose::roster:
+        limits::on_store_response(node.m_limits, surroundings, response.m_operation_id,
+                                  response.m_outcome);
+        break;
+    }
+}
+
+void handle(node_state& node, context& surroundings, const document_submitted& submission)
+{
+    configuration::on_submitted(node.m_configuration, surroundings, submission);
+}
+
+void handle(node_state& node, context& surroundings, const document_fetched& answer)
+{
+    configuration::on_fetched(node.m_configuration, surroundings, answer);
+}
+
+void handle(node_state& node, context& surroundings, const upstream_announced& news)
+{
+    gate::on_announced(node, surroundings, news);
+}
+
+bool has_work_in_progress(const node_state& node)
+{
+    return !node.m_ingress.m_requests.empty() || !node.m_gate.m_attempts.empty();
+}
+
+/// What follows from any event: late token verdicts, the digest in heartbeats, the end of a leave.
+void settle(node_state& node, context& surroundings)
+{
+    ingress::on_tokens_settled(node, surroundings);
+    membership::set_documents_digest(node.m_membership,
+                                     configuration::digest_of(node.m_configuration));
+    if (node.m_leave_deadline &&
+        (!has_work_in_progress(node) || surroundings.m_now >= *node.m_leave_deadline)) {
+        emit(surroundings, stop_process{});
+    }
+}
+
+} // namespace
+
+started_node start_node(host_settings settings, instant now, std::int64_t wall_ms)
+{
+    started_node started;
+    auto& node = started.m_state;
+    node.m_settings = std::move(settings);
+    node.m_random.seed(node.m_settings.m_random_seed);
+    auto surroundings = make_context(node, now, wall_ms, started.m_effects);
+    membership::start(node.m_membership, surroundings);
+    configuration::start(node.m_configuration, surroundings);
+    limits::start(node.m_limits, surroundings);
+    return started;
+}
+
+effect_list reduce(node_state& node, const event& occurrence)
+{
+    effect_list effects;
+    auto surroundings = make_context(node, occurrence.m_at, occurrence.m_wall_ms, effects);
+    std::visit([&](const auto& body) { handle(node, surroundings, body); }, occurrence.m_body);
+    settle(node, surroundings);
+    return effects;
+}
+
+instant next_wakeup(const node_state& node)
+{
+    return std::min({membership::next_wakeup(node.m_membership),
+                     configuration::next_wakeup(node.m_configuration),
+                     limits::next_wakeup(node.m_limits), health::next_wakeup(node.m_health),
+                     admission::next_wakeup(node.m_admission), gate::next_wakeup(node.m_gate),
+                     ingress::next_wakeup(node.m_ingress),
+                     node.m_leave_deadline.value_or(instant::max())});
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libwire/datagram.cpp
@@ -0,0 +1,74 @@
+#include "libwire/datagram.h"
+
+#include "libbase/digest.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/variant.hpp>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace chivevane {
+
+namespace {
+
+constexpr std::size_t tag_size = 32;
+
+std::string_view as_view(const digest_bytes& bytes)
+{
+    return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+error malformed(std::string_view what)
+{
+    return {error_kind::malformed, fmt::format("Datagram dropped: {}.", what),
+            "Check that all hosts run compatible versions of chivevaned."};
+}
+
+} // namespace
+
+result<std::string> encode_datagram(const datagram& packet, std::string_view secret)
+{
+    std::ostringstream stream;
+    stream.put(static_cast<char>(datagram_version));
+    {
+        cereal::PortableBinaryOutputArchive archive{stream};
+        archive(packet.m_sender, packet.m_sequence, packet.m_sent_at, packet.m_message);
+    }
+    auto bytes = std::move(stream).str();
+    bytes += as_view(hmac_sha256(secret, bytes));
+    if (bytes.size() > max_datagram_size) {
+        return error{error_kind::too_large,
+                     fmt::format("A message of {} bytes exceeds the datagram limit of {} bytes.",
+                                 bytes.size(), max_datagram_size),
+                     "Split the message before sending it."};
+    }
+    return bytes;
+}
+
+result<datagram> decode_datagram(std::string_view bytes, std::string_view secret)
+{
+    if (bytes.size() < tag_size + 1 || bytes.size() > max_datagram_size) {
+        return malformed("its size is out of bounds");
+    }
+    const auto signed_part = bytes.substr(0, bytes.size() - tag_size);
+    const auto tag = hmac_sha256(secret, signed_part);
+    if (!equal_in_constant_time(as_view(tag), bytes.substr(signed_part.size()))) {
+        return error{error_kind::unauthenticated, "Datagram dropped: its signature does not match.",
+                     "Give all hosts the same shared_secret in their settings."};
+    }
+    if (static_cast<std::uint8_t>(signed_part.front()) != datagram_version) {
+        return malformed("its version is not supported");
+    }
+    datagram packet;
+    try {
+        std::istringstream stream{std::string{signed_part.substr(1)}};
+        cereal::PortableBinaryInputArchive archive{stream};
+        archive(packet.m_sender, packet.m_sequence, packet.m_sent_at, packet.m_message);
+    }
+    catch (const std::exception& problem) {
+        return malformed(problem.what());
+    }
+    return packet;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libwire/hybrid_time.cpp
@@ -0,0 +1,20 @@
+#include "libwire/hybrid_time.h"
+
+#include <algorithm>
+
+namespace chivevane {
+
+hybrid_time next_reading(hybrid_time last, std::int64_t wall_ms)
+{
+    if (wall_ms > last.m_wall_ms) {
+        return {wall_ms, 0};
+    }
+    return {last.m_wall_ms, last.m_counter + 1};
+}
+
+hybrid_time merge_reading(hybrid_time last, hybrid_time received, std::int64_t wall_ms)
+{
+    return next_reading(std::max(last, received), wall_ms);
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libwire/link_head.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "libbase/instant.h"
+#include "libbase/result.h"
+#include "libwire/attempt_id.h"
+#include "libwire/request_head.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chivevane {
+
+/// What an ingress tells a gate about an attempt, carried in fields called Chivevane-*.
+struct link_head {
+    attempt_id m_attempt;
+    std::uint64_t m_gate_incarnation = 0; ///< The run of the gate that this attempt is meant for.
+    std::string m_endpoint;
+    std::string m_service;
+    std::string m_route;
+    std::string m_document;
+    std::string m_organisation;   ///< Empty on routes open to all.
+    std::uint64_t m_revision = 0; ///< Revision of the document that the request was judged by.
+    std::uint64_t m_fingerprint = 0;
+    std::chrono::milliseconds m_time_left{}; ///< Until the caller's deadline.
+
+    bool operator==(const link_head&) const = default;
+};
+
+/// Prefix of all field names that only hosts may use.
+constexpr std::string_view link_field_prefix = "Chivevane-";
+
+/// Field that echoes the attempt in a gate's answer.
+constexpr std::string_view attempt_field = "Chivevane-Attempt";
+
+/// Field of a gate's answer: `not-run` or `run`.
+constexpr std::string_view fate_field = "Chivevane-Fate";
+
+/// Field of a gate's own refusal: the name of its reason.
+constexpr std::string_view reason_field = "Chivevane-Reason";
+
+/// Adds the fields for `link` to `head`, signed under `secret` together with method, target and
+/// `body_hash`.
+void add_link_fields(request_head& head, const link_head& link, std::uint64_t body_hash,
+                     std::string_view secret);
+
+/// Checks the signature and reads the fields. Fails with `unauthenticated` or `malformed`.
+result<link_head> parse_link_fields(const request_head& head, std::uint64_t body_hash,
+                                    std::string_view secret);
+
+/// Removes all fields whose name begins with `link_field_prefix`.
+void remove_link_fields(std::vector<http_field>& fields);
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libwire/message.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "libwire/fate_messages.h"
+#include "libwire/health_messages.h"
+#include "libwire/loan_messages.h"
+#include "libwire/membership_messages.h"
+
+#include <variant>
+
+namespace chivevane {
+
+/// All messages that hosts exchange in datagrams. New kinds go to the end, since the index is on
+/// the wire.
+using message = std::variant<heartbeat, document_revisions, loan_request, loan_response,
+                             void_request, void_response, crash_report, health_report>;
+
+} // namespace chivevane
--- /dev/null
+++ b/tests/libpolicy/node_fixture.cpp
@@ -0,0 +1,78 @@
+#include "libpolicy/node_fixture.h"
+
+#include "libbase/digest.h"
+#include "libpolicy/configuration/document_record.h"
+
+#include <fmt/format.h>
+
+namespace chivevane::test {
+
+namespace {
+
+constexpr std::int64_t wall_at_start_ms = 1'700'000'000'000;
+
+} // namespace
+
+std::string sample_document()
+{
+    return fmt::format(R"(document: blackmorass
+organisations:
+  - name: parish
+    rate: 10
+    burst: 10
+    keys:
+      - {{name: first, digest: {}}}
+services:
+  - {{name: tides, floor: 0.5}}
+  - {{name: permits, floor: 0.5}}
+routes:
+  - {{name: notes, path_prefix: /tides, service: tides, open_to_all: true}}
+  - {{name: permits, path_prefix: /permits, service: permits, timeout_ms: 2000}}
+)",
+                       sha256_hex("parish-key"));
+}
+
+node_fixture::node_fixture()
+{
+    host_settings settings;
+    settings.m_self = {"marsh-1", 1};
+    settings.m_datacentre = "marsh";
+    settings.m_address = {"127.0.1.1", 7001, 7002, 7003, 7004};
+    settings.m_shared_secret = "secret";
+    auto started = start_node(settings, m_now, wall_at_start_ms);
+    m_node = std::move(started.m_state);
+    m_start_effects = std::move(started.m_effects);
+}
+
+effect_list node_fixture::feed(event_body body)
+{
+    const auto wall_ms = wall_at_start_ms + to_milliseconds(m_now.time_since_epoch());
+    return reduce(m_node, {m_now, wall_ms, std::move(body)});
+}
+
+effect_list node_fixture::advance(duration step)
+{
+    m_now += step;
+    return feed(timer_fired{});
+}
+
+void node_fixture::load_sample_document()
+{
+    const stored_document stored{"blackmorass", 1, "edit-1", sample_document()};
+    const store_entry entry{"/chivevane/documents/blackmorass", encode_document_record(stored), 1};
+    feed(store_response{1, store_purpose::document_read, store_entries{1, {entry}}});
+}
+
+void node_fixture::announce(std::string_view endpoint, std::string_view service)
+{
+    upstream_announced news;
+    news.m_endpoint = endpoint;
+    news.m_service = service;
+    news.m_ip = "127.0.1.1";
+    news.m_port = 9000;
+    news.m_slots = 4;
+    news.m_warmth = upstream_warmth::warm;
+    feed(std::move(news));
+}
+
+} // namespace chivevane::test
--- /dev/null
+++ b/tests/libpolicy/node_fixture.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "libpolicy/reduce.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivevane::test {
+
+/// A document with one organisation ("parish", key "parish-key") and routes to two services.
+std::string sample_document();
+
+/// One host driven event by event, with a clock that moves only when told.
+struct node_fixture {
+    node_fixture();
+
+    /// Handles `body` at the current time and returns the effects.
+    effect_list feed(event_body body);
+
+    /// Moves the clock and lets the timer fire.
+    effect_list advance(duration step);
+
+    /// Puts `sample_document` in force, as read from the store.
+    void load_sample_document();
+
+    /// Announces an upstream on this host.
+    void announce(std::string_view endpoint, std::string_view service);
+
+    node_state m_node;
+    effect_list m_start_effects;
+    instant m_now{1h};
+};
+
+/// The effects of one kind.
+template <typename Effect>
+std::vector<Effect> only(const effect_list& effects)
+{
+    std::vector<Effect> found;
+    for (const auto& item : effects) {
+        if (const auto* wanted = std::get_if<Effect>(&item)) {
+            found.push_back(*wanted);
+        }
+    }
+    return found;
+}
+
+} // namespace chivevane::test
--- /dev/null
+++ b/tests/libpolicy/path_test.cpp
@@ -0,0 +1,75 @@
+#include "libpolicy/node_fixture.h"
+#include "libwire/link_head.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+BOOST_FIXTURE_TEST_SUITE(whole_path, node_fixture)
+
+BOOST_AUTO_TEST_CASE(a_request_is_refused_before_the_documents_are_known)
+{
+    const auto effects = feed(inbound_request{
+        1, listener_kind::caller, {"GET", "/tides", {{"Host", "tides.example"}}}, 0, 0});
+    BOOST_TEST(only<respond>(effects).at(0).m_head.m_status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(a_keyed_request_passes_the_ingress_and_the_gate_and_loses_its_key)
+{
+    load_sample_document();
+    announce("permits-1", "permits");
+    const request_head head{
+        "POST", "/permits/7", {{"Host", "a"}, {"Authorization", "Bearer parish-key"}}};
+
+    const auto to_gate =
+        only<start_transfer>(feed(inbound_request{1, listener_kind::caller, head, 3, 42})).at(0);
+    BOOST_TEST(to_gate.m_port == 7002);
+    BOOST_TEST(!find_field(to_gate.m_head.m_fields, "Authorization"));
+
+    const auto to_upstream =
+        only<start_transfer>(feed(inbound_request{2, listener_kind::gate, to_gate.m_head, 3, 42}))
+            .at(0);
+    BOOST_TEST(to_upstream.m_port == 9000);
+    BOOST_TEST(!find_field(to_upstream.m_head.m_fields, attempt_field));
+
+    const auto gate_answer =
+        only<relay_transfer>(feed(transfer_head{to_upstream.m_transfer, {201, {}}})).at(0);
+    BOOST_TEST(gate_answer.m_exchange == 2);
+
+    const auto caller_answer =
+        only<relay_transfer>(feed(transfer_head{to_gate.m_transfer, *gate_answer.m_head})).at(0);
+    BOOST_TEST(caller_answer.m_exchange == 1);
+    BOOST_TEST(caller_answer.m_head->m_status == 201);
+    BOOST_TEST(!find_field(caller_answer.m_head->m_fields, attempt_field));
+
+    const auto gate_end = feed(transfer_ended{to_upstream.m_transfer, transfer_end::complete});
+    BOOST_TEST(only<finish_exchange>(gate_end).at(0).m_exchange == 2);
+    const auto caller_end = feed(transfer_ended{to_gate.m_transfer, transfer_end::complete});
+    BOOST_TEST(only<finish_exchange>(caller_end).at(0).m_exchange == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_a_known_key_is_refused)
+{
+    load_sample_document();
+    announce("permits-1", "permits");
+    request_head head{"GET", "/permits", {{"Host", "a"}}};
+    auto answer = only<respond>(feed(inbound_request{1, listener_kind::caller, head, 0, 0})).at(0);
+    BOOST_TEST(answer.m_head.m_status == 401);
+    BOOST_TEST(answer.m_body.find("\"outcome\":\"not-run\"") != std::string::npos);
+
+    head.m_fields.push_back({"X-Api-Key", "stranger"});
+    answer = only<respond>(feed(inbound_request{2, listener_kind::caller, head, 0, 0})).at(0);
+    BOOST_TEST(answer.m_body.find("key-unknown") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_open_route_needs_no_key)
+{
+    load_sample_document();
+    announce("tides-1", "tides");
+    const request_head head{"GET", "/tides/today", {{"Host", "a"}}};
+    const auto effects = feed(inbound_request{1, listener_kind::caller, head, 0, 0});
+    BOOST_TEST(only<start_transfer>(effects).size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
