libsettings: Read the settings of a host from YAML with all faults at once

A host had no settings of its own yet. parse_settings takes the text and a function that reads the files of secrets, so it stays pure; it returns either valid settings or every fault with its line, path and remedy.

Tested by a table of faults with kind and place and by random damage.

--- /dev/null
+++ b/tests/libsettings/settings_test.cpp
@@ -0,0 +1,141 @@
+#include "libsettings/parse_settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+using namespace chivevane;
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+namespace {
+
+const std::string valid = R"(host: marsh-1
+datacentre: marsh
+ip: 127.0.1.1
+ports: {caller: 8080, gate: 8081, control: 8082, admin: 8083, announce: 8084}
+shared_secret: 0123456789abcdef
+operator_token_file: token
+store: [127.0.0.1:7000, "[::1]:7001"]
+seeds: [127.0.1.2:8082]
+)";
+
+result<std::string> read_file(const std::string& path)
+{
+    if (path == "token") {
+        return std::string{"operator-token-of-marsh\n"};
+    }
+    return error{error_kind::not_found, fmt::format("{} is absent.", path), "Create the file."};
+}
+
+std::vector<error> faults_of(std::string_view text)
+{
+    const auto parsed = parse_settings(text, read_file);
+    const auto* const faults = std::get_if<std::vector<error>>(&parsed);
+    return faults == nullptr ? std::vector<error>{} : *faults;
+}
+
+/// `valid` with the line that begins with `field` replaced.
+std::string with_line(std::string_view field, std::string_view line)
+{
+    auto text = valid;
+    const auto begin = text.find(std::string{"\n"} + std::string{field} + ":") + 1;
+    return text.replace(begin, text.find('\n', begin) - begin, line);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_settings_are_read)
+{
+    const auto text = valid + "limits: {body_bytes: 5000, head_bytes: 2048}\n"
+                              "shutdown_limit_ms: 1500\ntimeline_entries: 99\nlog_level: warning\n"
+                              "listen_ip: 0.0.0.0\n";
+    const auto parsed = parse_settings(text, read_file);
+    BOOST_TEST_REQUIRE(parsed.index() == 0);
+    const auto& settings = std::get<node_settings>(parsed);
+    const auto& policy = settings.m_policy;
+    BOOST_TEST(policy.m_self.m_name == "marsh-1");
+    BOOST_TEST(policy.m_datacentre == "marsh");
+    BOOST_TEST((policy.m_address == host_address{"127.0.1.1", 8082, 8081, 8080, 8083}));
+    BOOST_TEST((policy.m_seeds == std::vector<host_address>{{"127.0.1.2", 8082}}));
+    BOOST_TEST(policy.m_shared_secret == "0123456789abcdef");
+    BOOST_TEST((policy.m_shutdown_limit == 1500ms));
+    BOOST_TEST(settings.m_listen_ip == "0.0.0.0");
+    BOOST_TEST(settings.m_announce_port == 8084);
+    BOOST_TEST(settings.m_operator_token == "operator-token-of-marsh");
+    BOOST_TEST((settings.m_stores == std::vector<ip_endpoint>{{"127.0.0.1", 7000}, {"::1", 7001}}));
+    BOOST_TEST(settings.m_max_body_size == 5000);
+    BOOST_TEST(settings.m_max_head_size == 2048);
+    BOOST_TEST(settings.m_timeline_entries == 99);
+    BOOST_TEST((settings.m_log_level == log_level::warning));
+}
+
+BOOST_AUTO_TEST_CASE(each_fault_has_kind_line_and_path)
+{
+    struct faulty_case {
+        std::string m_text;
+        error_kind m_kind;
+        std::string m_place;
+    };
+    const std::vector<faulty_case> cases{
+        {with_line("datacentre", "datacentre: a b"), error_kind::out_of_range,
+         "line 2, datacentre:"},
+        {with_line("ip", "ip: localhost"), error_kind::out_of_range, "line 3, ip:"},
+        {with_line("ip", "other: 3"), error_kind::unknown_field, "line 3, other:"},
+        {with_line("ip", "host: marsh-2"), error_kind::duplicate, "line 3, host:"},
+        {with_line("ports", "# none"), error_kind::missing_field, "line 1, ports:"},
+        {with_line("ports", "ports: {caller: 0, gate: 1, control: 2, admin: 3, announce: 4}"),
+         error_kind::out_of_range, "line 4, ports.caller:"},
+        {with_line("ports", "ports: {caller: x, gate: 1, control: 2, admin: 3, announce: 4}"),
+         error_kind::wrong_type, "line 4, ports.caller:"},
+        {with_line("ports", "ports: {caller: 1, gate: 1, control: 2, admin: 3, announce: 4}"),
+         error_kind::duplicate, "line 4, ports:"},
+        {with_line("shared_secret", "shared_secret: short"), error_kind::out_of_range,
+         "line 5, shared_secret:"},
+        {with_line("shared_secret", "# none"), error_kind::missing_field, "shared_secret:"},
+        {valid + "shared_secret_file: token\n", error_kind::duplicate, "line 5, shared_secret:"},
+        {with_line("operator_token_file", "operator_token_file: absent"), error_kind::not_found,
+         "line 6, operator_token_file: absent is absent."},
+        {with_line("store", "store: 127.0.0.1:7000"), error_kind::wrong_type, "line 7, store:"},
+        {with_line("store", "store: [store:7000]"), error_kind::out_of_range, "line 7, store[0]:"},
+        {with_line("store", "store: [127.0.0.1:1, 127.0.0.1:1]"), error_kind::duplicate,
+         "line 7, store[1]:"},
+        {with_line("seeds", "seeds: [127.0.1.2]"), error_kind::out_of_range, "line 8, seeds[0]:"},
+        {valid + "log_level: all\n", error_kind::out_of_range, "line 9, log_level:"},
+        {valid + "limits: {body_bytes: -1}\n", error_kind::out_of_range,
+         "line 9, limits.body_bytes:"},
+        {valid + "a: [\n", error_kind::syntax, "line 10:"},
+        {"", error_kind::syntax, "line 1:"},
+    };
+    for (const auto& wanted : cases) {
+        const auto faults = faults_of(wanted.m_text);
+        const bool found = std::any_of(faults.begin(), faults.end(), [&](const error& fault) {
+            return fault.m_kind == wanted.m_kind &&
+                   fault.m_message.find(wanted.m_place) != std::string::npos &&
+                   !fault.m_remedy.empty();
+        });
+        BOOST_TEST(found, wanted.m_place
+                              << " in " << wanted.m_text
+                              << (faults.empty() ? "no fault" : describe(faults.front())));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(all_faults_are_reported_at_once)
+{
+    const auto faults = faults_of("host: '-'\nport: 4\nlimits: 3\n");
+    BOOST_TEST(faults.size() >= 7);
+}
+
+BOOST_AUTO_TEST_CASE(no_text_crashes_the_reader)
+{
+    BOOST_TEST(rc::check("random damage", [](unsigned place, const std::string& junk) {
+        auto text = valid;
+        text.replace(place % text.size(), junk.size() % 9, junk);
+        const auto parsed = parse_settings(text, read_file);
+        const auto* const faults = std::get_if<std::vector<error>>(&parsed);
+        const bool is_settled = faults == nullptr || !faults->empty();
+        RC_ASSERT(is_settled);
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
