libdocument: Check documents whole and report every fault with its place

The first reader took unknown fields, repeated fields, dangling services and numbers of any size, and let yaml-cpp expand aliases. Documents are now read from the bounded tree: every name, number, digest, path, host and method has its bounds, names and what routes match are unique, and a key digest stands once. `hedging` is read. parse_document returns the first fault as before; parse_document_fully returns all, up to a hundred.

format_document prints the canonical form, which reads back the same.

Exceptions stay only where yaml-cpp's parser can be stopped by nothing else, and end in parse_yaml.

--- /dev/null
+++ b/libraries/libdocument/format_document.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "libdocument/document.h"
+
+#include <string>
+
+namespace chivevane {
+
+/// The canonical YAML of `rules`. `parse_document` reads the same document from it.
+std::string format_document(const document& rules);
+
+/// One route as a YAML flow map.
+std::string format_route(const route& entry);
+
+/// One key as a YAML flow map.
+std::string format_key(const api_key& key);
+
+/// `text` as a YAML scalar, quoted where a plain one would be read otherwise.
+std::string format_scalar(const std::string& text);
+
+} // namespace chivevane
--- a/libraries/libdocument/parse_document.cpp
+++ b/libraries/libdocument/parse_document.cpp
@@ -1,125 +1,115 @@
 #include "libdocument/parse_document.h"
 
+#include "libdocument/read_organisation.h"
+#include "libdocument/read_route.h"
+#include "libdocument/unique_names.h"
+#include "libdocument/yaml_reader.h"
+
 #include <fmt/format.h>
-#include <yaml-cpp/yaml.h>
 
 namespace chivevane {
 
 namespace {
 
-/// Carries a typed error out of the nested readers below; never leaves this file.
-struct document_fault {
-    error m_error;
-};
+constexpr value_bounds<double> floor_bounds{0, 1};
+constexpr double default_floor = 0.5; // half of the capacity stays in use
 
-std::string place_of(const YAML::Node& node, std::string_view path)
+service_policy read_service(const yaml_place& place, fault_list& faults)
 {
-    return fmt::format("line {}, {}", node.Mark().line + 1, path);
+    yaml_map_reader reader{place, {"name", "floor"}, faults};
+    service_policy service;
+    service.m_name = reader.name("name");
+    service.m_floor = reader.number_or("floor", floor_bounds, default_floor);
+    return service;
 }
 
-YAML::Node required(const YAML::Node& parent, const char* field, std::string_view path)
+void read_organisations(yaml_map_reader& reader, document& rules, fault_list& faults)
 {
-    const auto node = parent[field];
-    if (!node) {
-        throw document_fault{
-            {error_kind::missing_field,
-             fmt::format("{}: the field {} is missing.", place_of(parent, path), field),
-             fmt::format("Add {} there.", field)}};
+    unique_names names{"organisation"};
+    unique_names digests{"key digest"};
+    for (const auto& place : reader.items("organisations")) {
+        auto owner = read_organisation(place, digests, faults);
+        names.add(owner.m_name, place, faults);
+        rules.m_organisations.push_back(std::move(owner));
     }
-    return node;
 }
 
-template <typename Value>
-Value read(const YAML::Node& parent, const char* field, std::string_view path)
+unique_names read_services(yaml_map_reader& reader, document& rules, fault_list& faults)
 {
-    const auto node = required(parent, field, path);
-    try {
-        return node.as<Value>();
-    }
-    catch (const YAML::Exception&) {
-        throw document_fault{
-            {error_kind::wrong_type,
-             fmt::format("{}.{}: the value has the wrong type.", place_of(node, path), field),
-             "Give a value of the type that the documentation names."}};
+    unique_names names{"service"};
+    for (const auto& place : reader.items("services")) {
+        auto service = read_service(place, faults);
+        names.add(service.m_name, place, faults);
+        rules.m_services.push_back(std::move(service));
     }
+    return names;
 }
 
-template <typename Value>
-Value read_or(const YAML::Node& parent, const char* field, std::string_view path, Value fallback)
-{
-    return parent[field] ? read<Value>(parent, field, path) : fallback;
-}
-
-organisation read_organisation(const YAML::Node& node)
+void read_routes(yaml_map_reader& reader, const unique_names& services, document& rules,
+                 fault_list& faults)
 {
-    constexpr std::string_view path = "organisations";
-    organisation owner{read<std::string>(node, "name", path),
-                       read<double>(node, "rate", path),
-                       read<double>(node, "burst", path),
-                       {}};
-    for (const auto& key : node["keys"]) {
-        owner.m_keys.push_back(
-            {read<std::string>(key, "name", path), read<std::string>(key, "digest", path)});
+    unique_names names{"route"};
+    unique_names matches{"match of host, path_prefix and method"};
+    for (const auto& place : reader.items("routes")) {
+        auto entry = read_route(place, faults);
+        names.add(entry.m_name, place, faults);
+        add_route_matches(entry, matches, place, faults);
+        if (!entry.m_service.empty() && !services.contains(entry.m_service)) {
+            add_fault(faults, error_kind::dangling, place,
+                      fmt::format("services has no `{}`.", entry.m_service),
+                      "Add the service, or correct its name.");
+        }
+        rules.m_routes.push_back(std::move(entry));
     }
-    return owner;
 }
 
-route read_route(const YAML::Node& node)
+void read_datacentres(yaml_map_reader& reader, document& rules, fault_list& faults)
 {
-    constexpr std::string_view path = "routes";
-    route entry;
-    entry.m_name = read<std::string>(node, "name", path);
-    entry.m_host = read_or<std::string>(node, "host", path, "");
-    entry.m_path_prefix = read<std::string>(node, "path_prefix", path);
-    entry.m_methods = read_or<std::vector<std::string>>(node, "methods", path, {});
-    entry.m_service = read<std::string>(node, "service", path);
-    if (read_or<bool>(node, "open_to_all", path, false)) {
-        entry.m_access = route_access::open_to_all;
+    unique_names names{"data centre"};
+    for (const auto& place : reader.items("datacentres_out")) {
+        auto name = read_name(place, faults);
+        names.add(name, place, faults);
+        rules.m_datacentres_out.push_back(std::move(name));
     }
-    entry.m_timeout =
-        std::chrono::milliseconds{read_or<std::int64_t>(node, "timeout_ms", path, 10'000)};
-    entry.m_attempts = read_or<std::uint32_t>(node, "attempts", path, 3);
-    return entry;
 }
 
-document read_document(const YAML::Node& root)
+document read_document(const yaml_node& root, fault_list& faults)
 {
+    yaml_map_reader reader{{&root, ""},
+                           {"document", "organisations", "services", "routes", "datacentres_out"},
+                           faults};
     document rules;
-    rules.m_name = read<std::string>(root, "document", "document");
-    for (const auto& node : root["organisations"]) {
-        rules.m_organisations.push_back(read_organisation(node));
-    }
-    for (const auto& node : root["services"]) {
-        rules.m_services.push_back({read<std::string>(node, "name", "services"),
-                                    read_or<double>(node, "floor", "services", 0.5)});
-    }
-    for (const auto& node : root["routes"]) {
-        rules.m_routes.push_back(read_route(node));
-    }
-    rules.m_datacentres_out =
-        read_or<std::vector<std::string>>(root, "datacentres_out", "datacentres_out", {});
+    rules.m_name = reader.name("document");
+    read_organisations(reader, rules, faults);
+    const auto services = read_services(reader, rules, faults);
+    read_routes(reader, services, rules, faults);
+    read_datacentres(reader, rules, faults);
     return rules;
 }
 
 } // namespace
 
-result<document> parse_document(std::string_view text)
+std::variant<document, std::vector<error>> parse_document_fully(std::string_view text)
 {
-    if (text.size() > max_document_size) {
-        return error{error_kind::too_large,
-                     fmt::format("The document has {} bytes; at most {} are allowed.", text.size(),
-                                 max_document_size),
-                     "Split the document by service."};
-    }
-    try {
-        return read_document(YAML::Load(std::string{text}));
+    const auto root = parse_yaml(text, {max_document_size});
+    if (is_error(root)) {
+        return std::vector{error_of(root)};
     }
-    catch (const document_fault& fault) {
-        return fault.m_error;
+    fault_list faults;
+    auto rules = read_document(value_of(root), faults);
+    if (!faults.empty()) {
+        return faults;
     }
-    catch (const YAML::Exception& problem) {
-        return error{error_kind::syntax, problem.what(), "Correct the YAML at that place."};
+    return rules;
+}
+
+result<document> parse_document(std::string_view text)
+{
+    auto parsed = parse_document_fully(text);
+    if (auto* const faults = std::get_if<std::vector<error>>(&parsed)) {
+        return std::move(faults->front());
     }
+    return std::move(*std::get_if<document>(&parsed));
 }
 
 } // namespace chivevane
--- /dev/null
+++ b/libraries/libdocument/read_organisation.cpp
@@ -0,0 +1,56 @@
+#include "libdocument/read_organisation.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace chivevane {
+
+namespace {
+
+constexpr value_bounds<double> rate_bounds{0, 10'000'000};  // requests per second
+constexpr value_bounds<double> burst_bounds{0, 10'000'000}; // requests
+constexpr std::size_t digest_length = 64;                   // characters
+
+api_key read_key(const yaml_place& place, unique_names& digests, fault_list& faults)
+{
+    yaml_map_reader reader{place, {"name", "digest"}, faults};
+    api_key key{reader.name("name"), reader.text("digest")};
+    if (!key.m_digest.empty() && !is_key_digest(key.m_digest)) {
+        reader.fault(error_kind::out_of_range, "digest", "the value is no SHA-256 digest.",
+                     "Give 64 lower-case hexadecimal digits, as `chivevanectl key create` does.");
+    }
+    digests.add(key.m_digest, place, faults);
+    return key;
+}
+
+} // namespace
+
+bool is_key_digest(std::string_view text)
+{
+    return text.size() == digest_length && std::all_of(text.begin(), text.end(), [](char digit) {
+               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
+           });
+}
+
+organisation read_organisation(const yaml_place& place, unique_names& digests, fault_list& faults)
+{
+    yaml_map_reader reader{place, {"name", "rate", "burst", "keys"}, faults};
+    organisation owner;
+    owner.m_name = reader.name("name");
+    owner.m_rate = reader.number("rate", rate_bounds);
+    owner.m_burst = reader.number("burst", burst_bounds);
+    if (owner.m_rate > 0 && owner.m_burst < 1) {
+        reader.fault(error_kind::out_of_range, "burst",
+                     "with less than one no request could ever start.",
+                     "Give a burst of 1 or more, or a rate of 0 to suspend the organisation.");
+    }
+    unique_names names{"key"};
+    for (const auto& key_place : reader.items("keys")) {
+        auto key = read_key(key_place, digests, faults);
+        names.add(key.m_name, key_place, faults);
+        owner.m_keys.push_back(std::move(key));
+    }
+    return owner;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libdocument/read_route.cpp
@@ -0,0 +1,115 @@
+#include "libdocument/read_route.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace chivevane {
+
+namespace {
+
+constexpr value_bounds<std::int64_t> timeout_bounds_ms{1, 600'000}; // callers wait no longer
+constexpr value_bounds<std::int64_t> attempt_bounds{1, 10};
+constexpr std::size_t max_path_length = 1'024;
+constexpr std::size_t max_host_length = 259; // a name of 253 characters with a port
+constexpr std::size_t max_method_length = 32;
+
+bool is_path_prefix(std::string_view path)
+{
+    const bool is_visible = std::all_of(path.begin(), path.end(), [](char letter) {
+        return letter > ' ' && letter <= '~' && letter != '?' && letter != '#';
+    });
+    const auto with_end = fmt::format("{}/", path);
+    return path.starts_with('/') && path.size() <= max_path_length && is_visible &&
+           with_end.find("/./") == std::string::npos && with_end.find("/../") == std::string::npos;
+}
+
+bool is_host(std::string_view host)
+{
+    return host.size() <= max_host_length && std::all_of(host.begin(), host.end(), [](char letter) {
+               return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') ||
+                      letter == '-' || letter == '.' || letter == ':' || letter == '[' ||
+                      letter == ']';
+           });
+}
+
+bool is_method(std::string_view method)
+{
+    return !method.empty() && method.size() <= max_method_length &&
+           std::all_of(method.begin(), method.end(), [](char letter) {
+               return (letter >= 'A' && letter <= 'Z') || letter == '-' || letter == '_';
+           });
+}
+
+std::vector<std::string> read_methods(yaml_map_reader& reader, fault_list& faults)
+{
+    std::vector<std::string> methods;
+    unique_names names{"method"};
+    for (const auto& place : reader.items("methods")) {
+        auto method = read_text(place, faults);
+        if (place.m_node->m_kind == yaml_kind::scalar && !is_method(method)) {
+            add_fault(faults, error_kind::out_of_range, place, "the value is no method.",
+                      "Use the upper-case name of an HTTP method, such as GET.");
+        }
+        names.add(method, place, faults);
+        methods.push_back(std::move(method));
+    }
+    return methods;
+}
+
+void read_match(yaml_map_reader& reader, route& entry, fault_list& faults)
+{
+    entry.m_host = reader.text_or("host", "");
+    if (!is_host(entry.m_host)) {
+        reader.fault(error_kind::out_of_range, "host", "the value is no host name.",
+                     "Give a name in lower case, with :port if callers send one.");
+    }
+    entry.m_path_prefix = reader.text("path_prefix");
+    if (!entry.m_path_prefix.empty() && !is_path_prefix(entry.m_path_prefix)) {
+        reader.fault(error_kind::out_of_range, "path_prefix", "the value is no path.",
+                     "Begin with /, escape what is not visible ASCII, and leave out query, "
+                     "fragment, . and .. segments.");
+    }
+    entry.m_methods = read_methods(reader, faults);
+}
+
+} // namespace
+
+route read_route(const yaml_place& place, fault_list& faults)
+{
+    yaml_map_reader reader{place,
+                           {"name", "host", "path_prefix", "methods", "service", "open_to_all",
+                            "timeout_ms", "attempts", "hedging"},
+                           faults};
+    route entry;
+    entry.m_name = reader.name("name");
+    read_match(reader, entry, faults);
+    entry.m_service = reader.name("service");
+    if (reader.flag_or("open_to_all", false)) {
+        entry.m_access = route_access::open_to_all;
+    }
+    entry.m_timeout = std::chrono::milliseconds{
+        reader.integer_or("timeout_ms", timeout_bounds_ms, to_milliseconds(entry.m_timeout))};
+    entry.m_attempts =
+        static_cast<std::uint32_t>(reader.integer_or("attempts", attempt_bounds, entry.m_attempts));
+    if (reader.flag_or("hedging", false)) {
+        entry.m_hedging = hedging::on;
+    }
+    return entry;
+}
+
+void add_route_matches(const route& entry, unique_names& matches, const yaml_place& place,
+                       fault_list& faults)
+{
+    if (entry.m_path_prefix.empty()) {
+        return;
+    }
+    const auto where = fmt::format("{} {}", entry.m_host, entry.m_path_prefix);
+    if (entry.m_methods.empty()) {
+        matches.add(where, place, faults);
+    }
+    for (const auto& method : entry.m_methods) {
+        matches.add(fmt::format("{} {}", where, method), place, faults);
+    }
+}
+
+} // namespace chivevane
--- a/libraries/libdocument/yaml_reader.cpp
+++ b/libraries/libdocument/yaml_reader.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t max_name_length = 64;
+constexpr std::size_t max_faults = 100; // nobody reads more at once
 
 bool is_letter_or_digit(char letter)
 {
@@ -62,6 +63,9 @@
 void add_fault(fault_list& faults, error_kind kind, const yaml_place& place, std::string_view what,
                std::string_view remedy)
 {
+    if (faults.size() >= max_faults) {
+        return;
+    }
     const std::string_view path =
         place.m_path.empty() ? std::string_view{"top level"} : place.m_path;
     faults.push_back({kind, fmt::format("line {}, {}: {}", place.m_node->m_line, path, what),
--- a/libraries/libdocument/yaml_reader.h
+++ b/libraries/libdocument/yaml_reader.h
@@ -10,7 +10,8 @@
 
 namespace chivevane {
 
-/// All that is wrong with a text. Reading goes on after a fault, so that one pass finds them all.
+/// What is wrong with a text, up to a hundred faults. Reading goes on after a fault, so that one
+/// pass finds them all.
 using fault_list = std::vector<error>;
 
 /// A node with its path from the root, such as `routes[2].service`.
@@ -26,7 +27,7 @@
     Value m_greatest;
 };
 
-/// Adds the fault `what` at `place`, with its line and path.
+/// Adds the fault `what` at `place`, with its line and path. A full list stays as it is.
 void add_fault(fault_list& faults, error_kind kind, const yaml_place& place, std::string_view what,
                std::string_view remedy);
 
