--- /dev/null
+++ b/meta/failures.py
@@ -0,0 +1,206 @@
+"""Kills, freezes and platform outages on real processes; checks what must hold whatever the timing.
+
+Each check is about safety (at most once, true refusals, whole answers, one winner of a race), so
+that the verdict does not depend on the speed of the machine.
+"""
+import collections
+import concurrent.futures
+import hashlib
+import json
+import signal
+import sys
+import time
+
+from fleet import Fleet, digest, request, together, wait_until
+
+KEY = "clerk-key"
+LAYOUT = {name: [[("permits", {"slots": 8, "service_time_ms": 20})] for _ in range(2)]
+          for name in ("north", "middle", "south")}
+POSTS, POSTS_AT_ONCE = 240, 24
+DOWNLOADS, DOWNLOAD_SIZE = 24, 32 * 1024 * 1024
+
+
+def document(marker=0):
+    return json.dumps({
+        "document": "trial",
+        "organisations": [{"name": "clerks", "rate": 5000, "burst": 5000 + marker,
+                           "keys": [{"name": "key", "digest": digest(KEY)}]}],
+        "services": [{"name": "permits", "floor": 0.5}],
+        "routes": [{"name": "permits", "path_prefix": "/permits", "service": "permits",
+                    "timeout_ms": 2500}]}).encode()
+
+
+class Checks:
+    """Counts and prints what was checked."""
+
+    def __init__(self):
+        self.failed = 0
+
+    def check(self, name, is_right, seen):
+        self.failed += not is_right
+        print(f"{'ok  ' if is_right else 'FAIL'} {name}: {seen}", flush=True)
+
+
+def put(fleet, host, text, revision):
+    condition = {"If-Match": f'"{revision}"'} if revision else {"If-None-Match": "*"}
+    return fleet.admin(host, "PUT", "/v1/documents/trial", text, condition)
+
+
+def revision_on(fleet, host):
+    answer = fleet.admin(host, "GET", "/v1/documents/trial")
+    return int(answer.headers["ETag"].strip('"')) if answer.status == 200 else 0
+
+
+def outcome_of(answer):
+    """run, not-run or unknown, as the caller can tell it."""
+    if 200 <= answer.status < 300:
+        return "run"
+    try:
+        return json.loads(answer.body).get("outcome", "unknown")
+    except ValueError:
+        return "unknown"
+
+
+def post_all(fleet, name):
+    """Sends POSTs with different bodies over all hosts; returns body -> outcome."""
+    def post(number):
+        body = f"{name}-{number}"
+        host = fleet.hosts[number % len(fleet.hosts)]
+        time.sleep((number // POSTS_AT_ONCE) * 0.01)
+        return body, outcome_of(fleet.call(host, "POST", "/permits", KEY, body.encode(), timeout=6))
+
+    with concurrent.futures.ThreadPoolExecutor(max_workers=POSTS_AT_ONCE) as pool:
+        return dict(pool.map(post, range(POSTS)))
+
+
+def check_posts(fleet, checks, name, outcomes):
+    runs = fleet.upstream_runs()
+    counts = collections.Counter(outcomes.values())
+    doubled = [body for body in outcomes if runs.get(body, 0) > 1]
+    lies = [body for body, outcome in outcomes.items()
+            if outcome == "not-run" and runs.get(body, 0) > 0]
+    lost = [body for body, outcome in outcomes.items() if outcome == "run" and runs.get(body, 0) != 1]
+    checks.check(f"{name}: no POST ran twice", not doubled, f"{len(doubled)} doubled, {dict(counts)}")
+    checks.check(f"{name}: every not-run is true", not lies, f"{len(lies)} untrue")
+    checks.check(f"{name}: every success ran once", not lost, f"{len(lost)} others")
+
+
+def during(action, work):
+    """Runs `work` while `action` happens shortly after its start."""
+    with concurrent.futures.ThreadPoolExecutor(max_workers=1) as pool:
+        def act():
+            time.sleep(0.4)
+            action()
+        acting = pool.submit(act)
+        seen = work()
+        acting.result()
+    return seen
+
+
+def kill_host(fleet, checks):
+    host = fleet.hosts[-1]
+    outcomes = during(host.process.kill, lambda: post_all(fleet, "kill"))
+    check_posts(fleet, checks, "host killed", outcomes)
+    host.process.wait()
+    fleet.start_host(host)
+    back = wait_until(lambda: fleet.call(host, "GET", "/permits/1", KEY).status == 200, 20)
+    checks.check("killed host serves again after its start", back, back)
+
+
+def freeze_host(fleet, checks):
+    host = fleet.hosts[1]
+
+    def freeze():
+        host.process.send_signal(signal.SIGSTOP)
+        time.sleep(4)
+        host.process.send_signal(signal.SIGCONT)
+
+    check_posts(fleet, checks, "host frozen for 4 s", during(freeze, lambda: post_all(fleet, "freeze")))
+    wait_until(lambda: fleet.call(host, "GET", "/permits/1", KEY).status == 200, 20)
+
+
+def break_upstream(fleet, checks):
+    upstream = fleet.hosts[0].upstreams[0]
+    fault = dict(stuck=0.2, truncate=0.2, errors=0.2, wrong=0.2)
+    outcomes = during(lambda: fleet.control_upstream(upstream, **fault), lambda: post_all(fleet, "gray"))
+    check_posts(fleet, checks, "gray upstream", outcomes)
+    fleet.control_upstream(upstream)
+
+
+def race_operators(fleet, checks):
+    revision = revision_on(fleet, fleet.hosts[0])
+    wait_until(lambda: {revision_on(fleet, host) for host in fleet.hosts} == {revision}, 20)
+    answers = together([lambda host=host, n=n: put(fleet, host, document(n + 1), revision).status
+                        for n, host in enumerate(fleet.hosts)])
+    checks.check("one operator of six wins", answers.count(200) == 1, answers)
+    losers = [status for status in answers if status != 200]
+    checks.check("the others are told", set(losers) == {412}, losers)
+    alike = wait_until(lambda: len({revision_on(fleet, host) for host in fleet.hosts}) == 1, 20)
+    checks.check("one revision everywhere", alike, [revision_on(fleet, host) for host in fleet.hosts])
+
+
+def lose_store_answers(fleet, checks):
+    host = fleet.hosts[2]
+    before = revision_on(fleet, host)
+    fleet.control_store(mode="lose_answers")
+    answer = put(fleet, host, document(77), before)
+    fleet.control_store(mode="up")
+    wait_until(lambda: revision_on(fleet, host) == before + 1, 20)
+    is_honest = answer.status in (200, 504) and revision_on(fleet, host) == before + 1
+    checks.check("a write whose answer was lost is not denied", is_honest,
+                 (answer.status, before, revision_on(fleet, host)))
+
+
+def work_through_store_outage(fleet, checks):
+    revisions = [revision_on(fleet, host) for host in fleet.hosts]
+    fleet.control_store(mode="away")
+    host = fleet.hosts[-1]
+    host.process.kill()
+    host.process.wait()
+    fleet.start_host(host)
+    served = wait_until(lambda: fleet.call(host, "GET", "/permits/1", KEY).status == 200, 20)
+    checks.check("a host replaced while the store is away serves", served, served)
+    kept = [revision_on(fleet, each) for each in fleet.hosts]
+    checks.check("no revision went back", all(new >= old for new, old in zip(kept, revisions)), kept)
+    refused = put(fleet, fleet.hosts[0], document(99), max(kept)).status
+    checks.check("a write without the store is refused", refused in (503, 504), refused)
+    fleet.control_store(mode="up")
+
+
+def cut_downloads(fleet, checks):
+    direct = fleet.hosts[0].upstreams[0]
+    url = f"http://{direct['ip']}:{direct['port']}/download/{DOWNLOAD_SIZE}"
+    wanted = hashlib.sha256(request("GET", url, timeout=30).body).hexdigest()
+    victim = fleet.hosts[-1]
+    path = f"/permits/download/{DOWNLOAD_SIZE}"
+    hosts = fleet.hosts[:-1]
+    answers = during(victim.process.kill, lambda: together(
+        [lambda n=n: fleet.call(hosts[n % len(hosts)], "GET", path, KEY, timeout=20) for n in range(DOWNLOADS)]))
+    wrong = [len(answer.body) for answer in answers
+             if answer.status == 200 and hashlib.sha256(answer.body).hexdigest() != wanted]
+    whole = sum(answer.status == 200 for answer in answers)
+    checks.check("no wrong download passes as whole", not wrong, f"{whole} whole of {len(answers)}, {wrong}")
+    victim.process.wait()
+    fleet.start_host(victim)
+
+
+def main():
+    checks = Checks()
+    with Fleet(LAYOUT) as fleet:
+        fleet.start()
+        accepted = wait_until(lambda: put(fleet, fleet.hosts[0], document(), 0).status in (200, 412), 20)
+        checks.check("document accepted", accepted, accepted)
+        ready = wait_until(lambda: set(together(
+            [lambda host=host: fleet.call(host, "GET", "/permits/1", KEY).status
+             for host in fleet.hosts])) == {200}, 20)
+        checks.check("fleet ready", ready, ready)
+        for trial in (race_operators, lose_store_answers, break_upstream, freeze_host, kill_host,
+                      cut_downloads, work_through_store_outage):
+            trial(fleet, checks)
+        if checks.failed:
+            print(f"logs: {fleet.folder}")
+    print("failures passed" if checks.failed == 0 else f"failures: {checks.failed} checks failed")
+    return 1 if checks.failed else 0
+
+
+sys.exit(main())
--- a/meta/fleet.py
+++ b/meta/fleet.py
@@ -5,7 +5,9 @@
 import concurrent.futures
 import dataclasses
 import hashlib
+import http.client
 import json
+import os
 import pathlib
 import subprocess
 import tempfile
@@ -14,10 +16,13 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BIN = ROOT / "build" / "release" / "bin"
+BIN = pathlib.Path(os.environ.get("CHIVEVANE_BIN", ROOT / "build" / "release" / "bin"))
+LOAD_TOOL = ROOT / "build" / "release" / "bin" / "load_tool"
 
 CALLER_PORT, GATE_PORT, CONTROL_PORT, ADMIN_PORT, ANNOUNCE_PORT = 17080, 17081, 17082, 17083, 17084
-STORE = ("127.0.9.1", 17000)
+# Two fleets at once need different networks: 127.0.N.x and those after it.
+FIRST_NETWORK = int(os.environ.get("CHIVEVANE_NETWORK", "10"))
+STORE = (f"127.0.{FIRST_NETWORK - 1}.1", 17000)
 FIRST_UPSTREAM_PORT = 18000
 OPERATOR_TOKEN = "operator-token-for-the-local-fleet-only"
 SHARED_SECRET = "shared-secret-for-the-local-fleet-only-0123456789"
@@ -56,7 +61,7 @@
     except urllib.error.HTTPError as refusal:
         with refusal:
             return Answer(refusal.code, dict(refusal.headers), refusal.read())
-    except OSError as problem:
+    except (OSError, http.client.HTTPException) as problem:
         return Answer(0, {}, str(problem).encode())
 
 
@@ -83,7 +88,7 @@
         number = 0
         for place, (datacentre, hosts) in enumerate(layout.items()):
             for index, services in enumerate(hosts):
-                ip = f"127.0.{10 + place}.{index + 1}"
+                ip = f"127.0.{FIRST_NETWORK + place}.{index + 1}"
                 host = Host(f"{datacentre}-{index + 1}", datacentre, ip, [])
                 for service, options in services:
                     number += 1
@@ -122,7 +127,7 @@
             "ports": {"caller": CALLER_PORT, "gate": GATE_PORT, "control": CONTROL_PORT,
                       "admin": ADMIN_PORT, "announce": ANNOUNCE_PORT},
             "shared_secret": SHARED_SECRET, "operator_token": OPERATOR_TOKEN,
-            "store": [f"{STORE[0]}:{STORE[1]}"], "seeds": seeds[:6],
+            "store": [f"{STORE[0]}:{STORE[1]}"], "seeds": seeds,
             "shutdown_limit_ms": 10000,
         }
 
--- /dev/null
+++ b/meta/measure.py
@@ -0,0 +1,280 @@
+"""Measures the four things of the brief on real processes over loopback.
+
+Prints key=value lines; writes samples and plots below build/measure. Timing decides nothing here.
+CHIVEVANE_BIN names the programs of another build, to compare with an earlier version.
+"""
+import argparse
+import collections
+import csv
+import json
+import pathlib
+import shutil
+import statistics
+import subprocess
+import time
+
+from fleet import CALLER_PORT, Fleet, LOAD_TOOL, ROOT, digest, wait_until
+
+OUT = ROOT / "build" / "measure"
+
+# Services with their number of endpoints, over three data centres (brief, "Sizes of today").
+BLACKMORASS = {"herdbook": 10, "permits": 12, "surveys": 6, "tides": 6}
+MAGNOLIA = {"enrollbook": 10, "benchdesk": 6, "imagevault": 6, "rosterhall": 6}
+DATACENTRES = ("north", "middle", "south")
+ORGANISATIONS = [(f"org{number}", 200 if number <= 2 else 20 if number <= 6 else 5)
+                 for number in range(1, 9)]
+FAULT_AT_S = 4.0
+
+
+def layout_of(services, options):
+    """One endpoint a host, dealt out over the data centres."""
+    layout = {datacentre: [] for datacentre in DATACENTRES}
+    hosts = [service for service, count in services.items() for _ in range(count)]
+    for number, service in enumerate(hosts):
+        layout[DATACENTRES[number % len(DATACENTRES)]].append([(service, options)])
+    return layout
+
+
+def document_of(services, rate_factor=1.0, out=()):
+    organisations = [{"name": name, "rate": rate * rate_factor, "burst": rate * rate_factor,
+                      "keys": [{"name": "key", "digest": digest(f"{name}-key")}]}
+                     for name, rate in ORGANISATIONS]
+    routes = [{"name": service, "path_prefix": f"/{service}", "service": service, "timeout_ms": 3000}
+              for service in services]
+    routes.append({"name": "open", "path_prefix": "/open", "service": next(iter(services)),
+                   "open_to_all": True, "timeout_ms": 3000})
+    return json.dumps({"document": "measured", "organisations": organisations,
+                       "services": [{"name": service, "floor": 0.5} for service in services],
+                       "routes": routes, "datacentres_out": list(out)}).encode()
+
+
+def apply(fleet, text):
+    host = fleet.hosts[0]
+    current = fleet.admin(host, "GET", "/v1/documents/measured")
+    condition = {"If-Match": current.headers["ETag"]} if current.status == 200 else {"If-None-Match": "*"}
+    return fleet.admin(host, "PUT", "/v1/documents/measured", text, condition).status == 200
+
+
+def start_fleet(services, options, rate_factor=1.0):
+    """A fleet that serves its document on every host and knows every upstream."""
+    fleet = Fleet(layout_of(services, options))
+    fleet.start()
+    if not wait_until(lambda: apply(fleet, document_of(services, rate_factor)), 20):
+        fleet.stop()
+        raise RuntimeError("the fleet accepted no document")
+    pending = {(host.name, service): host for host in fleet.hosts for service in services}
+
+    def all_answered():
+        for (name, service), host in list(pending.items()):
+            if fleet.call(host, "GET", f"/{service}/x", "org1-key").status in (200, 429):
+                del pending[(name, service)]
+        return not pending
+
+    if not wait_until(all_answered, 30):
+        print(f"event=warning detail=fleet-not-ready folder={fleet.folder}")
+    time.sleep(3)
+    return fleet
+
+
+def run_load(fleet, name, streams, seconds, seed, during=lambda: None):
+    """Runs the load tool with a plan; calls `during` while it runs. Returns its samples."""
+    plan = {"targets": [f"{host.ip}:{CALLER_PORT}" for host in fleet.hosts], "seconds": seconds,
+            "seed": seed, "streams": streams}
+    path = OUT / f"{name}.plan.yaml"
+    path.write_text(json.dumps(plan))
+    samples = OUT / f"{name}.csv"
+    process = subprocess.Popen([LOAD_TOOL, f"--plan={path}", f"--samples={samples}"],
+                               stdout=subprocess.PIPE, text=True)
+    during()
+    process.wait()
+    with open(samples) as file:
+        return [{"at": float(row["scheduled_ms"]) / 1000, "stream": row["stream"],
+                 "status": int(row["status"]), "latency": float(row["latency_ms"]),
+                 "inside": row["inside_rate"] == "1", "endpoint": row["endpoint"]}
+                for row in csv.DictReader(file)]
+
+
+def quantile(values, fraction):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] if ordered else 0.0
+
+
+def line(event, **fields):
+    text = " ".join(f"{key}={value:.3f}" if isinstance(value, float) else f"{key}={value}"
+                    for key, value in fields.items())
+    print(f"event={event} {text}", flush=True)
+
+
+def share_of(samples, endpoint, begin, end):
+    window = [sample for sample in samples if begin <= sample["at"] < end and sample["endpoint"]]
+    hits = sum(sample["endpoint"] == endpoint for sample in window)
+    return hits / len(window) if window else 0.0
+
+
+def detection_seconds(samples, sick, endpoints, until):
+    """From the fault to the first second in which the sick one gets under a quarter of its part."""
+    fair = 1.0 / len(endpoints)
+    moment = FAULT_AT_S
+    while moment + 1 <= until:
+        if share_of(samples, sick, moment, moment + 1) < 0.25 * fair:
+            return moment - FAULT_AT_S
+        moment += 0.1
+    return float("inf")
+
+
+def false_ejections(samples, sick, endpoints, until):
+    """Healthy endpoints that got under a tenth of their fair part in some two seconds."""
+    fair = 1.0 / len(endpoints)
+    return sum(any(share_of(samples, endpoint, begin, begin + 2) < 0.1 * fair
+                   for begin in range(1, int(until) - 2))
+               for endpoint in endpoints if endpoint != sick)
+
+
+def measure_detection(services, seeds):
+    service, count = next(iter(services.items()))
+    endpoints = [f"{service}-{number}" for number in range(1, count + 1)]
+    faults = {"slow": {"slow": 5}, "errors100": {"errors": 1}, "errors30": {"errors": 0.3},
+              "errors10": {"errors": 0.1}}
+    for fault, order in faults.items():
+        times, false_ones, failed, total = [], 0, 0, 0
+        for seed in range(1, seeds + 1):
+            with start_fleet(services, {"service_time_ms": 10}) as fleet:
+                sick = fleet.hosts[0].upstreams[0]
+                endpoints = [upstream["endpoint"] for host in fleet.hosts
+                             for upstream in host.upstreams if upstream["service"] == service]
+                streams = [{"name": "open", "path": "/open", "rate": 300}]
+
+                def break_it():
+                    time.sleep(FAULT_AT_S)
+                    fleet.control_upstream(sick, **order)
+
+                samples = run_load(fleet, f"detection-{fault}-{seed}", streams, 14, seed, break_it)
+                times.append(detection_seconds(samples, sick["endpoint"], endpoints, 14))
+                false_ones += false_ejections(samples, sick["endpoint"], endpoints, 14)
+                after = [sample for sample in samples if sample["at"] >= FAULT_AT_S]
+                failed += sum(sample["status"] != 200 for sample in after)
+                total += len(after)
+        line("detection", fault=fault, runs=seeds, median_s=statistics.median(times),
+             worst_s=max(times), false_ejections=false_ones, failed_share=failed / max(total, 1))
+
+
+def organisation_streams(services, factor, names=None):
+    service = next(iter(services))
+    return [{"name": name, "key": f"{name}-key", "path": f"/{service}", "rate": rate * factor,
+             "limit_rate": rate, "limit_burst": rate}
+            for name, rate in ORGANISATIONS if names is None or name in names]
+
+
+def summary_by_stream(samples):
+    grouped = collections.defaultdict(list)
+    for sample in samples:
+        grouped[sample["stream"]].append(sample)
+    return {name: {"served": sum(s["status"] == 200 for s in each) / len(each),
+                   "p99": quantile([s["latency"] for s in each if s["status"] == 200], 0.99)}
+            for name, each in grouped.items()}
+
+
+def measure_worst_served(services, seeds):
+    """One organisation sends ten times what the service can bear of it, limits aside."""
+    for seed in range(1, seeds + 1):
+        with start_fleet(services, {"service_time_ms": 40}, rate_factor=100) as fleet:
+            calm = [dict(stream, rate=min(stream["rate"], 40), limit_rate=0)
+                    for stream in organisation_streams(services, 0.8)]
+            flooded = [dict(stream, rate=1500 if stream["name"] == "org1" else stream["rate"])
+                       for stream in calm]
+            before = summary_by_stream(run_load(fleet, f"calm-{seed}", calm, 8, seed))
+            during = summary_by_stream(run_load(fleet, f"flood-{seed}", flooded, 8, seed))
+        others = [name for name in during if name != "org1"]
+        worst = min(others, key=lambda name: during[name]["served"])
+        slowest = max(others, key=lambda name: during[name]["p99"] / max(before[name]["p99"], 0.1))
+        line("worst_served", seed=seed, organisation=worst, served_before=before[worst]["served"],
+             served_in_flood=during[worst]["served"], slowest=slowest,
+             p99_before_ms=before[slowest]["p99"], p99_in_flood_ms=during[slowest]["p99"],
+             flooder_served=during["org1"]["served"])
+
+
+def measure_refusals(services, seeds):
+    for targets in ("spread", "single", "moving"):
+        for factor in (0.5, 0.9):
+            inside = refused = over = 0
+            worst = 0.0
+            for seed in range(1, seeds + 1):
+                with start_fleet(services, {"service_time_ms": 2, "slots": 32}) as fleet:
+                    streams = [dict(stream, targets=targets)
+                               for stream in organisation_streams(services, factor)]
+                    samples = run_load(fleet, f"refusals-{targets}-{factor}-{seed}", streams, 12, seed)
+                for name, _ in ORGANISATIONS:
+                    own = [sample for sample in samples if sample["stream"] == name and sample["inside"]]
+                    bad = sum(sample["status"] == 429 for sample in own)
+                    worst = max(worst, bad / max(len(own), 1))
+                    inside, refused = inside + len(own), refused + bad
+                over += sum(not s["inside"] and s["status"] == 200 for s in samples)
+            line("refused_inside_rate", targets=targets, load=factor, requests=inside,
+                 share=refused / max(inside, 1), worst_organisation_share=worst,
+                 served_outside_rate=over)
+
+
+def measure_datacentre(services, seeds):
+    """A data centre is taken out at 3 s and brought back at 10 s."""
+    for seed in range(1, seeds + 1):
+        with start_fleet(services, {"service_time_ms": 10}) as fleet:
+            service = next(iter(services))
+            leaving = {upstream["endpoint"] for host in fleet.hosts if host.datacentre == "south"
+                       for upstream in host.upstreams}
+
+            def take_out_and_back():
+                time.sleep(3)
+                apply(fleet, document_of(services, out=["south"]))
+                time.sleep(7)
+                apply(fleet, document_of(services))
+
+            streams = [{"name": "open", "path": "/open", "rate": 300}]
+            samples = run_load(fleet, f"datacentre-{seed}", streams, 18, seed, take_out_and_back)
+        late = [sample["at"] - 3 for sample in samples
+                if sample["endpoint"] in leaving and 3 <= sample["at"] < 10]
+        back = [sample["at"] - 10 for sample in samples
+                if sample["endpoint"] in leaving and sample["at"] >= 10]
+        line("datacentre", service=service, seed=seed, requests=len(samples),
+             not_served=sum(sample["status"] != 200 for sample in samples),
+             last_work_after_out_s=max(late, default=0.0), first_work_after_back_s=min(back, default=-1.0),
+             p99_ms=quantile([sample["latency"] for sample in samples], 0.99))
+        plot_shares(f"datacentre-{seed}", samples, leaving)
+
+
+def plot_shares(name, samples, endpoints):
+    """Draws the share of the requests that went to `endpoints` over time."""
+    if shutil.which("gnuplot") is None:
+        return
+    rows = []
+    for tenth in range(0, 180, 5):
+        window = [s for s in samples if tenth / 10 <= s["at"] < tenth / 10 + 0.5]
+        if window:
+            hits = sum(s["endpoint"] in endpoints for s in window)
+            rows.append(f"{tenth / 10} {hits / len(window):.4f}")
+    data = OUT / f"{name}.dat"
+    data.write_text("\n".join(rows) + "\n")
+    script = (f"set terminal svg size 800,300\nset output '{OUT / name}.svg'\n"
+              "set xlabel 'seconds'\nset ylabel 'share of requests'\nset yrange [0:1]\n"
+              f"plot '{data}' with steps title '{name}'\n")
+    subprocess.run(["gnuplot"], input=script, text=True, check=False)
+
+
+MEASURES = {"detection": measure_detection, "worst_served": measure_worst_served,
+            "refusals": measure_refusals, "datacentre": measure_datacentre}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("measures", nargs="*", choices=[*MEASURES, []], help="which ones; default all")
+    parser.add_argument("--full", action="store_true", help="five seeds instead of one, both users' sizes")
+    options = parser.parse_args()
+    OUT.mkdir(parents=True, exist_ok=True)
+    sizes = {"blackmorass": BLACKMORASS, "magnolia": MAGNOLIA} if options.full else {"blackmorass": BLACKMORASS}
+    for size, services in sizes.items():
+        for name in options.measures or MEASURES:
+            line("measure", name=name, size=size, endpoints=sum(services.values()))
+            MEASURES[name](services, 5 if options.full else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/utilities/upstream_standin/standin_endpoint.cpp
+++ b/utilities/upstream_standin/standin_endpoint.cpp
@@ -172,7 +172,8 @@
 void standin_endpoint::answer(const received_request& request)
 {
     if (happens(m_faults.m_error_share)) {
-        m_server.respond(request.m_exchange, answer_head(request, 500), "out of order\n");
+        m_server.respond(request.m_exchange, answer_head(request, 500),
+                         fmt::format("endpoint={} out of order\n", m_options.m_endpoint));
     }
     else if (request.m_head.m_target.starts_with(download_prefix) ||
              request.m_head.m_target.find(download_prefix) != std::string::npos) {
