--- a/meta/measure.py
+++ b/meta/measure.py
@@ -7,6 +7,7 @@
 import collections
 import csv
 import json
+import os
 import pathlib
 import shutil
 import statistics
@@ -76,10 +77,10 @@
     return fleet
 
 
-def run_load(fleet, name, streams, seconds, seed, during=lambda: None):
+def run_load(fleet, name, streams, seconds, seed, during=lambda: None, targets=None):
     """Runs the load tool with a plan; calls `during` while it runs. Returns its samples."""
-    plan = {"targets": [f"{host.ip}:{CALLER_PORT}" for host in fleet.hosts], "seconds": seconds,
-            "seed": seed, "streams": streams}
+    targets = targets or [f"{host.ip}:{CALLER_PORT}" for host in fleet.hosts]
+    plan = {"targets": targets, "seconds": seconds, "seed": seed, "streams": streams}
     path = OUT / f"{name}.plan.yaml"
     path.write_text(json.dumps(plan))
     samples = OUT / f"{name}.csv"
@@ -241,6 +242,57 @@
         plot_shares(f"datacentre-{seed}", samples, leaving)
 
 
+def measure_overhead(services, seeds):
+    """The same requests straight to the stand-ins and through the fleet, in one run."""
+    for seed in range(1, seeds + 1):
+        with start_fleet(services, {"service_time_ms": 5, "slots": 64}) as fleet:
+            service = next(iter(services))
+            upstreams = [upstream for host in fleet.hosts for upstream in host.upstreams
+                         if upstream["service"] == service]
+            streams = [{"name": "open", "path": "/open", "rate": 300}]
+            direct = run_load(fleet, f"direct-{seed}", streams, 8, seed,
+                              targets=[f"{each['ip']}:{each['port']}" for each in upstreams])
+            proxied = run_load(fleet, f"proxied-{seed}", streams, 8, seed)
+        straight = [sample["latency"] for sample in direct]
+        through = [sample["latency"] for sample in proxied]
+        fields = {}
+        for fraction in (0.5, 0.99):
+            before, after = quantile(straight, fraction), quantile(through, fraction)
+            name = f"p{fraction * 100:.0f}"
+            fields |= {f"{name}_direct_ms": before, f"{name}_through_ms": after,
+                       f"{name}_ratio": after / before, f"{name}_added_ms": after - before}
+        line("overhead", seed=seed, requests=len(through), **fields)
+
+
+def processor_seconds(process):
+    """Processor time of a process so far, from /proc (proc(5))."""
+    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_megabytes(process):
+    pages = int(pathlib.Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def measure_idle(services, seeds):
+    """What the hosts spend on control alone, and their calls on the store."""
+    length = 20
+    for seed in range(1, seeds + 1):
+        with start_fleet(services, {}) as fleet:
+            time.sleep(5)
+            spent = [processor_seconds(host.process) for host in fleet.hosts]
+            calls = fleet.store_calls()
+            time.sleep(length)
+            calls = fleet.store_calls() - calls
+            spent = [processor_seconds(host.process) - before
+                     for host, before in zip(fleet.hosts, spent)]
+            memory = max(resident_megabytes(host.process) for host in fleet.hosts)
+        line("idle", seed=seed, hosts=len(fleet.hosts), core_share=statistics.mean(spent) / length,
+             worst_core_share=max(spent) / length, worst_resident_mb=memory,
+             store_calls_per_s=calls / length)
+
+
 def plot_shares(name, samples, endpoints):
     """Draws the share of the requests that went to `endpoints` over time."""
     if shutil.which("gnuplot") is None:
@@ -260,7 +312,8 @@
 
 
 MEASURES = {"detection": measure_detection, "worst_served": measure_worst_served,
-            "refusals": measure_refusals, "datacentre": measure_datacentre}
+            "refusals": measure_refusals, "datacentre": measure_datacentre,
+            "overhead": measure_overhead, "idle": measure_idle}
 
 
 def main():
