--- a/libraries/libpolicy/forwarding.cpp
+++ b/libraries/libpolicy/forwarding.cpp
@@ -20,8 +20,8 @@
                                                             "Transfer-Encoding",
                                                             "Upgrade"};
 
-constexpr std::array<std::string_view, 3> request_only_fields{"Authorization", "X-Api-Key",
-                                                              "Content-Length"};
+constexpr std::array<std::string_view, 4> request_only_fields{"Authorization", "X-Api-Key",
+                                                              "Content-Length", "Expect"};
 
 bool is_among(std::span<const std::string_view> names, std::string_view name)
 {
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -2,130 +2,177 @@
 
 #include "libpolicy/admission/admission.h"
 #include "libpolicy/forwarding.h"
-#include "libpolicy/health/health.h"
+#include "libpolicy/gate/crash_reports.h"
+#include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/gate/local_upstreams.h"
+#include "libpolicy/gate/running_attempts.h"
+#include "libpolicy/ingress/method.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/node_state.h"
 #include "libpolicy/refusal.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace chivevane::gate {
 
 namespace {
 
-constexpr duration tombstone_lifetime = 60s; // Longer than any copy stays under way.
-constexpr duration connect_timeout = 1s;
-constexpr duration stall_timeout = 10s;
+/// Whether the reading that came with a message is one that no forgotten copy can carry.
+bool is_fresh(std::int64_t reading, instant now)
+{
+    const auto age = clock_reading(now) - reading;
+    return age >= 0 && age < tombstone_lifetime.count();
+}
 
-void answer_refusal(context& surroundings, exchange_id exchange, const attempt_id& attempt,
-                    const refusal& reason)
+bool is_full(const gate_state& state)
 {
-    auto answer = make_refusal(exchange, reason);
-    const auto not_run = reason.m_outcome == request_outcome::not_run;
-    answer.m_head.m_fields.push_back({std::string{attempt_field}, to_string(attempt)});
-    answer.m_head.m_fields.push_back({std::string{fate_field}, not_run ? "not-run" : "run"});
-    answer.m_head.m_fields.push_back(
-        {std::string{reason_field}, std::string{to_string(reason.m_kind)}});
-    emit(surroundings, std::move(answer));
+    return state.m_attempts.size() + state.m_tombstones.m_fates.size() >= max_remembered_attempts;
 }
 
-void bury(gate_state& state, context& surroundings, const attempt_id& id, attempt_fate fate)
+/// The answer to an attempt that this gate does not take on, if there is one.
+enum class arrival : std::uint8_t { taken_on, may_have_run, known_not_run, needs_clock };
+
+arrival examine(const node_state& node, context& surroundings, const link_head& link,
+                std::string_view method)
 {
-    if (const auto found = state.m_attempts.find(id); found != state.m_attempts.end()) {
-        state.m_by_exchange.erase(found->second.m_exchange);
-        state.m_by_transfer.erase(found->second.m_transfer);
-        state.m_attempts.erase(found);
+    const auto& state = node.m_gate;
+    if (link.m_gate_incarnation != surroundings.m_settings.m_self.m_incarnation ||
+        state.m_attempts.contains(link.m_attempt)) {
+        return arrival::may_have_run;
+    }
+    if (const auto fate = find_fate(state.m_tombstones, link.m_attempt)) {
+        return *fate == attempt_fate::not_run ? arrival::known_not_run : arrival::may_have_run;
     }
-    state.m_tombstones[id] = {fate, surroundings.m_now + tombstone_lifetime};
+    if (link.m_gate_clock == 0) {
+        return is_idempotent(method) ? arrival::taken_on : arrival::needs_clock;
+    }
+    return is_fresh(link.m_gate_clock, surroundings.m_now) ? arrival::taken_on
+                                                           : arrival::may_have_run;
 }
 
-void refuse_attempt(gate_state& state, context& surroundings, const attempt_id& id,
-                    refusal_kind kind)
+void take_on(node_state& node, context& surroundings, const inbound_request& request,
+             const link_head& link)
 {
-    const auto exchange = state.m_attempts.at(id).m_exchange;
-    answer_refusal(surroundings, exchange, id, {kind, request_outcome::not_run, 1s});
-    bury(state, surroundings, id, attempt_fate::not_run);
+    auto& state = node.m_gate;
+    gate_attempt attempt;
+    attempt.m_exchange = request.m_exchange;
+    attempt.m_link = link;
+    attempt.m_head = forwardable_request(request.m_head);
+    std::erase_if(attempt.m_head.m_fields, [](const http_field& field) {
+        return equal_ignoring_case(field.m_name, "X-Request-Id") ||
+               equal_ignoring_case(field.m_name, "X-Request-Timeout-Ms");
+    });
+    attempt.m_repeat =
+        is_idempotent(request.m_head.m_method) ? gate_repeat::allowed : gate_repeat::forbidden;
+    attempt.m_deadline = surroundings.m_now + link.m_time_left;
+    state.m_by_exchange[request.m_exchange] = link.m_attempt;
+    state.m_attempts.emplace(link.m_attempt, std::move(attempt));
+    if (!link.m_strike.empty()) {
+        quarantine::add_strike(state.m_quarantine, link.m_fingerprint, link.m_strike,
+                               surroundings.m_now);
+    }
+    if (state.m_is_leaving) {
+        refuse_attempt(node, surroundings, link.m_attempt, refusal_kind::leaving);
+        return;
+    }
+    admit(node, surroundings, link.m_attempt);
+}
+
+bool is_load_refusal(const response_head& head)
+{
+    return head.m_status == 429 || head.m_status == 503;
 }
 
-/// Hands an attempt to its upstream. From here on it may have run.
-void hand_over(node_state& node, context& surroundings, gate_attempt& attempt)
+bool is_crossed(const response_head& head, const attempt_id& id)
 {
-    const auto& upstream = node.m_gate.m_upstreams.at(attempt.m_link.m_endpoint).m_latest;
-    attempt.m_phase = gate_phase::running;
-    attempt.m_handed_over_at = surroundings.m_now;
-    attempt.m_transfer = next_id(surroundings);
-    node.m_gate.m_by_transfer[attempt.m_transfer] = attempt.m_link.m_attempt;
-    auto head = attempt.m_head;
-    const auto time_left = to_milliseconds(attempt.m_deadline - surroundings.m_now);
-    head.m_fields.push_back({"X-Request-Id", to_string(attempt.m_link.m_attempt)});
-    head.m_fields.push_back({"X-Request-Timeout-Ms", std::to_string(time_left)});
-    emit(surroundings,
-         start_transfer{attempt.m_transfer, attempt.m_exchange, upstream.m_ip, upstream.m_port,
-                        std::move(head), connection_choice::reuse, connect_timeout, stall_timeout});
+    const auto echo = find_field(head.m_fields, "X-Request-Id");
+    return echo && *echo != to_string(id);
 }
 
-void start_waiting(node_state& node, context& surroundings)
+void end_without_answer(node_state& node, context& surroundings, const attempt_id& id,
+                        const transfer_ended& end)
 {
-    for (const auto& waiting : admission::take_startable(node.m_admission, surroundings.m_now)) {
-        hand_over(node, surroundings, node.m_gate.m_attempts.at(waiting.m_attempt));
+    const auto& attempt = node.m_gate.m_attempts.at(id);
+    const bool never_sent =
+        end.m_end == transfer_end::connect_failed && attempt.m_repeat != gate_repeat::used;
+    std::string strike;
+    if (end.m_end == transfer_end::broken || end.m_end == transfer_end::truncated) {
+        strike = report_break(node, surroundings, attempt);
     }
+    give_evidence(node, surroundings, attempt, run_evidence::broke_off);
+    const auto outcome = never_sent ? request_outcome::not_run : request_outcome::unknown;
+    answer_refusal(surroundings, attempt.m_exchange, id, {refusal_kind::upstream_failed, outcome},
+                   strike);
+    end_run(node, surroundings, id, never_sent ? attempt_fate::not_run : attempt_fate::may_run);
 }
 
-/// Tells the other hosts what stands behind this gate.
-void publish_upstreams(node_state& node)
+void end_relay(node_state& node, context& surroundings, const attempt_id& id,
+               const transfer_ended& end)
 {
-    std::vector<upstream_summary> summaries;
-    for (const auto& [endpoint, upstream] : node.m_gate.m_upstreams) {
-        const auto load = admission::load_of(node.m_admission, endpoint);
-        const auto& latest = upstream.m_latest;
-        summaries.push_back({endpoint, latest.m_service, latest.m_slots, load.m_concurrency,
-                             load.m_queued, latest.m_warmth, latest.m_phase});
+    const auto& attempt = node.m_gate.m_attempts.at(id);
+    if (end.m_end == transfer_end::complete) {
+        emit(surroundings, finish_exchange{attempt.m_exchange});
+        report_survival(node, surroundings, attempt);
     }
-    membership::set_own_upstreams(node.m_membership, std::move(summaries));
+    else {
+        emit(surroundings, abort_exchange{attempt.m_exchange});
+        give_evidence(node, surroundings, attempt, run_evidence::truncated);
+        if (end.m_end != transfer_end::stalled) {
+            report_break(node, surroundings, attempt);
+        }
+    }
+    end_run(node, surroundings, id, attempt_fate::may_run);
 }
 
-void observe_run(node_state& node, context& surroundings, const gate_attempt& attempt,
-                 observed_result seen, admission::run_result run)
+/// The fate of an attempt that is at the gate now. Stops it if `scope` says so.
+attempt_fate settle_live(node_state& node, context& surroundings, const gate_attempt& attempt,
+                         void_scope scope)
 {
-    const auto& link = attempt.m_link;
-    health::observe(node.m_health, surroundings,
-                    {{surroundings.m_settings.m_self.m_name, link.m_endpoint},
-                     link.m_service,
-                     link.m_route,
-                     observer::gate,
-                     seen,
-                     attempt.m_latency});
-    admission::finished(node.m_admission, link.m_endpoint, run, attempt.m_latency,
-                        surroundings.m_now);
+    if (attempt.m_phase == gate_phase::relaying) {
+        return attempt_fate::may_run;
+    }
+    if (scope == void_scope::never_seen) {
+        return attempt_fate::in_progress;
+    }
+    if (attempt.m_phase == gate_phase::running) {
+        return attempt_fate::may_run;
+    }
+    withdraw(node, attempt);
+    refuse_attempt(node, surroundings, attempt_id{attempt.m_link.m_attempt},
+                   refusal_kind::deadline_exceeded);
+    return attempt_fate::not_run;
 }
 
-void remove_upstream(node_state& node, context& surroundings, const std::string& endpoint)
+attempt_fate settle_fate(node_state& node, context& surroundings, const void_request& request)
 {
-    for (const auto& waiting : admission::remove_upstream(node.m_admission, endpoint)) {
-        refuse_attempt(node.m_gate, surroundings, waiting.m_attempt, refusal_kind::no_upstream);
+    auto& state = node.m_gate;
+    if (request.m_gate_incarnation != surroundings.m_settings.m_self.m_incarnation) {
+        return attempt_fate::unknown;
+    }
+    if (const auto fate = find_fate(state.m_tombstones, request.m_attempt)) {
+        return *fate;
     }
-    node.m_gate.m_upstreams.erase(endpoint);
+    if (const auto live = state.m_attempts.find(request.m_attempt);
+        live != state.m_attempts.end()) {
+        return settle_live(node, surroundings, live->second, request.m_scope);
+    }
+    if (is_full(state) || !is_fresh(request.m_gate_clock, surroundings.m_now)) {
+        return attempt_fate::unknown;
+    }
+    bury(state.m_tombstones, request.m_attempt, attempt_fate::not_run, surroundings.m_now);
+    return attempt_fate::not_run;
 }
 
 } // namespace
 
 void on_announced(node_state& node, context& surroundings, const upstream_announced& news)
 {
-    auto& upstream = node.m_gate.m_upstreams[news.m_endpoint];
-    const bool is_new =
-        upstream.m_latest.m_run != news.m_run || upstream.m_latest.m_endpoint.empty();
-    upstream = {news, surroundings.m_now + news.m_time_to_live};
-    admission::set_upstream(node.m_admission, news.m_endpoint, news.m_slots, news.m_warmth,
-                            is_new ? admission::upstream_news::started_anew
-                                   : admission::upstream_news::announced_again,
-                            surroundings.m_now);
-    publish_upstreams(node);
+    adopt_announcement(node, surroundings, news);
+    start_waiting(node, surroundings);
 }
 
 void on_request(node_state& node, context& surroundings, const inbound_request& request)
 {
-    auto& state = node.m_gate;
     const auto parsed = parse_link_fields(request.m_head, request.m_body_hash,
                                           surroundings.m_settings.m_shared_secret);
     if (is_error(parsed)) {
@@ -133,93 +180,78 @@
         return;
     }
     const auto& link = value_of(parsed);
-    const auto& id = link.m_attempt;
-    if (link.m_gate_incarnation != surroundings.m_settings.m_self.m_incarnation ||
-        state.m_attempts.contains(id) || state.m_tombstones.contains(id)) {
-        answer_refusal(surroundings, request.m_exchange, id,
+    switch (examine(node, surroundings, link, request.m_head.m_method)) {
+    case arrival::taken_on:
+        break;
+    case arrival::may_have_run:
+        answer_refusal(surroundings, request.m_exchange, link.m_attempt,
                        {refusal_kind::no_upstream, request_outcome::unknown});
         return;
-    }
-    gate_attempt attempt{request.m_exchange, 0, link, forwardable_request(request.m_head)};
-    attempt.m_deadline = surroundings.m_now + link.m_time_left;
-    state.m_attempts[id] = attempt;
-    state.m_by_exchange[request.m_exchange] = id;
-    const auto upstream = state.m_upstreams.find(link.m_endpoint);
-    if (upstream == state.m_upstreams.end() || state.m_is_leaving ||
-        upstream->second.m_latest.m_phase == upstream_phase::draining) {
-        refuse_attempt(state, surroundings, id, refusal_kind::no_upstream);
+    case arrival::known_not_run:
+        answer_refusal(surroundings, request.m_exchange, link.m_attempt,
+                       {refusal_kind::no_upstream, request_outcome::not_run});
+        return;
+    case arrival::needs_clock:
+        ask_for_clock(surroundings, request.m_exchange, link.m_attempt);
         return;
     }
-    const auto organisation = link.m_document + "/" + link.m_organisation;
-    const queued_attempt queued{id, link.m_endpoint, organisation, attempt.m_deadline};
-    switch (admission::offer(node.m_admission, queued, surroundings.m_now)) {
-    case admission::verdict::start:
-        hand_over(node, surroundings, state.m_attempts.at(id));
-        break;
-    case admission::verdict::queued:
-        break;
-    case admission::verdict::refused:
-        refuse_attempt(state, surroundings, id, refusal_kind::overloaded);
-        break;
+    if (is_full(node.m_gate)) {
+        answer_refusal(surroundings, request.m_exchange, link.m_attempt,
+                       {refusal_kind::overloaded, request_outcome::unknown, 1s});
+        return;
     }
+    take_on(node, surroundings, request, link);
 }
 
 void on_gone(node_state& node, context& surroundings, exchange_id exchange)
 {
-    auto& state = node.m_gate;
-    const auto id = state.m_by_exchange.at(exchange);
-    const auto attempt = state.m_attempts.at(id);
-    if (attempt.m_phase == gate_phase::queued) {
-        admission::withdraw(node.m_admission, attempt.m_link.m_endpoint, id);
-        bury(state, surroundings, id, attempt_fate::not_run);
+    const attempt_id id = node.m_gate.m_by_exchange.at(exchange);
+    const auto& attempt = node.m_gate.m_attempts.at(id);
+    if (attempt.m_phase == gate_phase::queued || attempt.m_phase == gate_phase::held) {
+        withdraw(node, attempt);
+        refuse_attempt(node, surroundings, id, refusal_kind::deadline_exceeded);
         return;
     }
     emit(surroundings, cancel_transfer{attempt.m_transfer});
-    admission::finished(node.m_admission, attempt.m_link.m_endpoint,
-                        admission::run_result::cancelled, attempt.m_latency, surroundings.m_now);
-    bury(state, surroundings, id, attempt_fate::may_run);
-    start_waiting(node, surroundings);
+    end_run(node, surroundings, id, attempt_fate::may_run);
 }
 
 void on_transfer_head(node_state& node, context& surroundings, const transfer_head& answer)
 {
     auto& state = node.m_gate;
-    auto& attempt = state.m_attempts.at(state.m_by_transfer.at(answer.m_transfer));
+    const attempt_id id = state.m_by_transfer.at(answer.m_transfer);
+    auto& attempt = state.m_attempts.at(id);
+    if (is_crossed(answer.m_head, id)) {
+        emit(surroundings, cancel_transfer{answer.m_transfer});
+        give_evidence(node, surroundings, attempt, run_evidence::crossed);
+        answer_refusal(surroundings, attempt.m_exchange, id,
+                       {refusal_kind::upstream_failed, request_outcome::unknown});
+        end_run(node, surroundings, id, attempt_fate::may_run);
+        return;
+    }
     attempt.m_phase = gate_phase::relaying;
+    state.m_due.erase({attempt.m_due, id});
+    attempt.m_due = instant::max();
     attempt.m_latency = surroundings.m_now - attempt.m_handed_over_at;
+    attempt.m_was_load_refused = is_load_refusal(answer.m_head);
+    attempt.m_has_failed = answer.m_head.m_status >= 500 && !attempt.m_was_load_refused;
     auto head = forwardable_response(answer.m_head);
-    head.m_fields.push_back({std::string{attempt_field}, to_string(attempt.m_link.m_attempt)});
-    head.m_fields.push_back({std::string{fate_field}, "run"});
+    add_echo(surroundings, head, id, "run");
     emit(surroundings, relay_transfer{answer.m_transfer, attempt.m_exchange, std::move(head)});
-    const bool failed = answer.m_head.m_status >= 500;
-    observe_run(node, surroundings, attempt,
-                failed ? observed_result::server_error : observed_result::good,
-                failed ? admission::run_result::failed : admission::run_result::good);
+    if (!attempt.m_was_load_refused) {
+        give_evidence(node, surroundings, attempt, run_evidence::answered);
+    }
 }
 
 void on_transfer_ended(node_state& node, context& surroundings, const transfer_ended& end)
 {
-    auto& state = node.m_gate;
-    const auto id = state.m_by_transfer.at(end.m_transfer);
-    const auto attempt = state.m_attempts.at(id);
-    if (attempt.m_phase == gate_phase::relaying) {
-        if (end.m_end == transfer_end::complete) {
-            emit(surroundings, finish_exchange{attempt.m_exchange});
-        }
-        else {
-            emit(surroundings, abort_exchange{attempt.m_exchange});
-        }
+    const attempt_id id = node.m_gate.m_by_transfer.at(end.m_transfer);
+    if (node.m_gate.m_attempts.at(id).m_phase == gate_phase::relaying) {
+        end_relay(node, surroundings, id, end);
     }
     else {
-        observe_run(node, surroundings, attempt, observed_result::server_error,
-                    admission::run_result::failed);
-        const bool never_sent = end.m_end == transfer_end::connect_failed;
-        const auto outcome = never_sent ? request_outcome::not_run : request_outcome::unknown;
-        answer_refusal(surroundings, attempt.m_exchange, id,
-                       {refusal_kind::upstream_failed, outcome});
+        end_without_answer(node, surroundings, id, end);
     }
-    bury(state, surroundings, id, attempt_fate::may_run);
-    start_waiting(node, surroundings);
 }
 
 void on_void_request(node_state& node, context& surroundings, const host_identity& sender,
@@ -229,48 +261,36 @@
     if (peer == nullptr) {
         return;
     }
-    auto& state = node.m_gate;
-    const auto& id = request.m_attempt;
-    auto fate = attempt_fate::may_run;
-    if (request.m_gate_incarnation != surroundings.m_settings.m_self.m_incarnation) {
-        fate = attempt_fate::unknown;
-    }
-    else if (const auto grave = state.m_tombstones.find(id); grave != state.m_tombstones.end()) {
-        fate = grave->second.m_fate;
-    }
-    else if (const auto found = state.m_attempts.find(id); found == state.m_attempts.end()) {
-        fate = attempt_fate::not_run;
-        bury(state, surroundings, id, fate);
+    const auto address = peer->m_latest.m_address;
+    const auto fate = settle_fate(node, surroundings, request);
+    emit(surroundings, send_datagram{address, void_response{request.m_attempt,
+                                                            request.m_gate_incarnation, fate}});
+}
+
+void on_crash_report(node_state& node, context& surroundings, const host_identity&,
+                     const crash_report& report)
+{
+    auto& state = node.m_gate.m_quarantine;
+    if (report.m_evidence == crash_evidence::added) {
+        quarantine::add_strike(state, report.m_fingerprint, report.m_strike, surroundings.m_now);
     }
-    else if (found->second.m_phase == gate_phase::queued) {
-        fate = attempt_fate::not_run;
-        admission::withdraw(node.m_admission, found->second.m_link.m_endpoint, id);
-        refuse_attempt(state, surroundings, id, refusal_kind::deadline_exceeded);
+    else {
+        quarantine::withdraw_strike(state, report.m_fingerprint, report.m_strike);
     }
-    emit(surroundings, send_datagram{peer->m_latest.m_address,
-                                     void_response{id, request.m_gate_incarnation, fate}});
 }
 
-void on_crash_report(node_state&, context&, const host_identity&, const crash_report&) {}
-
 void on_timer(node_state& node, context& surroundings)
 {
-    auto& state = node.m_gate;
+    check_due(node, surroundings);
     for (const auto& expired : admission::take_expired(node.m_admission, surroundings.m_now)) {
-        refuse_attempt(state, surroundings, expired.m_attempt, refusal_kind::deadline_exceeded);
-    }
-    std::vector<std::string> gone;
-    for (const auto& [endpoint, upstream] : state.m_upstreams) {
-        if (upstream.m_expires_at <= surroundings.m_now) {
-            gone.push_back(endpoint);
-        }
+        refuse_attempt(node, surroundings, expired.m_attempt, refusal_kind::deadline_exceeded);
     }
-    for (const auto& endpoint : gone) {
-        remove_upstream(node, surroundings, endpoint);
+    for (const auto& id : remove_lapsed(node, surroundings)) {
+        refuse_attempt(node, surroundings, id, refusal_kind::no_upstream);
     }
-    std::erase_if(state.m_tombstones, [&surroundings](const auto& entry) {
-        return entry.second.m_expires_at <= surroundings.m_now;
-    });
+    forget_expired(node.m_gate.m_tombstones, surroundings.m_now);
+    quarantine::expire(node.m_gate.m_quarantine, surroundings.m_now);
+    send_reports(node, surroundings);
     start_waiting(node, surroundings);
     publish_upstreams(node);
 }
@@ -287,10 +307,13 @@
 
 instant next_wakeup(const gate_state& state)
 {
-    auto earliest = instant::max();
+    auto earliest = state.m_due.empty() ? instant::max() : state.m_due.begin()->m_at;
     for (const auto& [endpoint, upstream] : state.m_upstreams) {
         earliest = std::min(earliest, upstream.m_expires_at);
     }
+    for (const auto& announcement : state.m_announcements) {
+        earliest = std::min(earliest, announcement.m_next_send);
+    }
     return earliest;
 }
 
--- /dev/null
+++ b/libraries/libpolicy/gate/gate_answers.cpp
@@ -0,0 +1,54 @@
+#include "libpolicy/gate/gate_answers.h"
+
+#include "libwire/link_head.h"
+
+namespace chivevane::gate {
+
+namespace {
+
+std::string_view fate_name(request_outcome outcome)
+{
+    return outcome == request_outcome::not_run ? "not-run" : "run";
+}
+
+void add_field(response_head& head, std::string_view name, std::string_view value)
+{
+    head.m_fields.push_back({std::string{name}, std::string{value}});
+}
+
+} // namespace
+
+std::int64_t clock_reading(instant now)
+{
+    return now.time_since_epoch().count();
+}
+
+void add_echo(context& surroundings, response_head& head, const attempt_id& attempt,
+              std::string_view fate)
+{
+    add_field(head, attempt_field, to_string(attempt));
+    add_field(head, fate_field, fate);
+    add_field(head, gate_clock_field, std::to_string(clock_reading(surroundings.m_now)));
+}
+
+void answer_refusal(context& surroundings, exchange_id exchange, const attempt_id& attempt,
+                    const refusal& reason, std::string_view strike)
+{
+    auto answer = make_refusal(exchange, reason);
+    add_echo(surroundings, answer.m_head, attempt, fate_name(reason.m_outcome));
+    add_field(answer.m_head, reason_field, to_string(reason.m_kind));
+    if (!strike.empty()) {
+        add_field(answer.m_head, strike_field, strike);
+    }
+    emit(surroundings, std::move(answer));
+}
+
+void ask_for_clock(context& surroundings, exchange_id exchange, const attempt_id& attempt)
+{
+    auto answer = make_refusal(exchange, {refusal_kind::overloaded});
+    add_echo(surroundings, answer.m_head, attempt, fate_name(request_outcome::not_run));
+    add_field(answer.m_head, reason_field, clock_required);
+    emit(surroundings, std::move(answer));
+}
+
+} // namespace chivevane::gate
--- /dev/null
+++ b/libraries/libpolicy/gate/local_upstreams.cpp
@@ -0,0 +1,63 @@
+#include "libpolicy/gate/local_upstreams.h"
+
+#include "libpolicy/admission/admission.h"
+#include "libpolicy/membership/membership.h"
+#include "libpolicy/node_state.h"
+
+namespace chivevane::gate {
+
+void adopt_announcement(node_state& node, context& surroundings, const upstream_announced& news)
+{
+    const auto [place, is_unknown] = node.m_gate.m_upstreams.try_emplace(news.m_endpoint);
+    auto& upstream = place->second;
+    const bool is_new = is_unknown || upstream.m_latest.m_run != news.m_run;
+    if (is_new) {
+        upstream.m_repeat_balance = 1;
+    }
+    upstream.m_latest = news;
+    upstream.m_expires_at = surroundings.m_now + news.m_time_to_live;
+    admission::set_upstream(node.m_admission, news.m_endpoint, news.m_slots, news.m_warmth,
+                            is_new ? admission::upstream_news::started_anew
+                                   : admission::upstream_news::announced_again,
+                            surroundings.m_now);
+    publish_upstreams(node);
+}
+
+std::vector<attempt_id> remove_lapsed(node_state& node, context& surroundings)
+{
+    std::vector<attempt_id> waiting;
+    auto& upstreams = node.m_gate.m_upstreams;
+    for (auto place = upstreams.begin(); place != upstreams.end();) {
+        if (place->second.m_expires_at > surroundings.m_now) {
+            ++place;
+            continue;
+        }
+        for (const auto& queued : admission::remove_upstream(node.m_admission, place->first)) {
+            waiting.push_back(queued.m_attempt);
+        }
+        place = upstreams.erase(place);
+    }
+    return waiting;
+}
+
+void publish_upstreams(node_state& node)
+{
+    std::vector<upstream_summary> summaries;
+    for (const auto& [endpoint, upstream] : node.m_gate.m_upstreams) {
+        const auto load = admission::load_of(node.m_admission, endpoint);
+        const auto& latest = upstream.m_latest;
+        summaries.push_back({endpoint, latest.m_service, latest.m_slots, load.m_concurrency,
+                             load.m_queued, latest.m_warmth, latest.m_phase});
+    }
+    membership::set_own_upstreams(node.m_membership, std::move(summaries));
+}
+
+const local_upstream* find_serving(const gate_state& state, std::string_view endpoint)
+{
+    const auto found = state.m_upstreams.find(endpoint);
+    const bool is_serving = found != state.m_upstreams.end() &&
+                            found->second.m_latest.m_phase == upstream_phase::serving;
+    return is_serving ? &found->second : nullptr;
+}
+
+} // namespace chivevane::gate
--- /dev/null
+++ b/libraries/libpolicy/gate/patience.cpp
@@ -0,0 +1,24 @@
+#include "libpolicy/gate/patience.h"
+
+#include "libpolicy/health/health.h"
+
+#include <algorithm>
+
+namespace chivevane {
+
+namespace {
+
+constexpr int latency_multiple = 3;        // Ordinary latency varies by less.
+constexpr duration shortest_limit = 100ms; // Scheduling pauses alone reach tens of ms.
+
+} // namespace
+
+std::optional<duration> silence_limit(const health_state& health, std::string_view service,
+                                      std::string_view route, duration timeout)
+{
+    const auto expected = health::expected_latency(health, service, route, timeout);
+    const auto limit = std::max(expected * latency_multiple, shortest_limit);
+    return limit < timeout ? std::optional{limit} : std::nullopt;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -0,0 +1,312 @@
+#include "libpolicy/gate/running_attempts.h"
+
+#include "libpolicy/admission/admission.h"
+#include "libpolicy/gate/crash_reports.h"
+#include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/gate/local_upstreams.h"
+#include "libpolicy/gate/patience.h"
+#include "libpolicy/health/health.h"
+#include "libpolicy/node_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace chivevane::gate {
+
+namespace {
+
+constexpr duration connect_timeout = 1s;
+constexpr duration stall_timeout = 10s;
+constexpr double repeats_per_run = 0.02; // With the 8% of the ingresses' retries: 10% in all.
+constexpr double max_repeats = 2;
+
+void set_due(gate_state& state, gate_attempt& attempt, instant due)
+{
+    state.m_due.erase({attempt.m_due, attempt.m_link.m_attempt});
+    attempt.m_due = due;
+    if (due != instant::max()) {
+        state.m_due.insert({due, attempt.m_link.m_attempt});
+    }
+}
+
+/// When a running attempt is looked at: once it is silent for too long, or at its deadline.
+instant next_look(const node_state& node, const gate_attempt& attempt, instant now)
+{
+    const auto& link = attempt.m_link;
+    const auto limit = silence_limit(node.m_health, link.m_service, link.m_route,
+                                     attempt.m_deadline - attempt.m_handed_over_at);
+    return limit ? std::min(attempt.m_deadline, now + *limit) : attempt.m_deadline;
+}
+
+void send_to_upstream(node_state& node, context& surroundings, gate_attempt& attempt,
+                      connection_choice connection)
+{
+    auto& state = node.m_gate;
+    const auto& upstream = state.m_upstreams.at(attempt.m_link.m_endpoint).m_latest;
+    attempt.m_transfer = next_id(surroundings);
+    state.m_by_transfer[attempt.m_transfer] = attempt.m_link.m_attempt;
+    auto head = attempt.m_head;
+    const auto time_left =
+        std::max<std::int64_t>(1, to_milliseconds(attempt.m_deadline - surroundings.m_now));
+    head.m_fields.push_back({"X-Request-Id", to_string(attempt.m_link.m_attempt)});
+    head.m_fields.push_back({"X-Request-Timeout-Ms", std::to_string(time_left)});
+    emit(surroundings,
+         start_transfer{attempt.m_transfer, attempt.m_exchange, upstream.m_ip, upstream.m_port,
+                        std::move(head), connection, connect_timeout, stall_timeout});
+    set_due(state, attempt, next_look(node, attempt, surroundings.m_now));
+}
+
+bool is_suspect_runner(const gate_state& state, const gate_attempt& attempt)
+{
+    const auto found = state.m_quarantine.m_suspects.find(attempt.m_link.m_fingerprint);
+    return found != state.m_quarantine.m_suspects.end() &&
+           found->second.m_running == attempt.m_link.m_attempt;
+}
+
+/// Hands an attempt to its upstream. From here on it may have run.
+void hand_over(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    auto& upstream = node.m_gate.m_upstreams.at(attempt.m_link.m_endpoint);
+    upstream.m_repeat_balance = std::min(max_repeats, upstream.m_repeat_balance + repeats_per_run);
+    attempt.m_phase = gate_phase::running;
+    attempt.m_handed_over_at = surroundings.m_now;
+    attempt.m_upstream_run = upstream.m_latest.m_run;
+    const bool is_suspected = is_suspect_runner(node.m_gate, attempt);
+    send_to_upstream(node, surroundings, attempt,
+                     is_suspected ? connection_choice::fresh : connection_choice::reuse);
+}
+
+void offer(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    const auto& link = attempt.m_link;
+    attempt.m_phase = gate_phase::queued;
+    set_due(node.m_gate, attempt, instant::max()); // Admission expires what waits.
+    const queued_attempt queued{id, link.m_endpoint, link.m_document + "/" + link.m_organisation,
+                                attempt.m_deadline};
+    switch (admission::offer(node.m_admission, queued, surroundings.m_now)) {
+    case admission::verdict::start:
+        hand_over(node, surroundings, id);
+        break;
+    case admission::verdict::queued:
+        break;
+    case admission::verdict::refused:
+        refuse_attempt(node, surroundings, id, refusal_kind::overloaded);
+        break;
+    }
+}
+
+/// Runs a suspected request alone, holds it while another runs, or leaves it to its owner.
+void admit_suspected(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& state = node.m_gate;
+    auto& attempt = state.m_attempts.at(id);
+    const auto& link = attempt.m_link;
+    auto& entry = state.m_quarantine.m_suspects.at(link.m_fingerprint);
+    const auto owner = quarantine::owner_of(state.m_quarantine, node.m_membership, link.m_service,
+                                            link.m_fingerprint);
+    const bool is_owner = owner == surroundings.m_settings.m_self.m_name;
+    if (!is_owner || entry.m_held.size() >= quarantine::max_held) {
+        refuse_attempt(node, surroundings, id, refusal_kind::overloaded);
+        return;
+    }
+    if (entry.m_running) {
+        attempt.m_phase = gate_phase::held;
+        entry.m_held.push_back(id);
+        set_due(state, attempt, attempt.m_deadline);
+        return;
+    }
+    entry.m_running = id;
+    offer(node, surroundings, id);
+}
+
+/// Lets those go on that waited for the end of a suspected request.
+void release_held(node_state& node, context& surroundings, std::uint64_t fingerprint)
+{
+    auto& entry = node.m_gate.m_quarantine.m_suspects.at(fingerprint);
+    entry.m_running.reset();
+    const auto held = std::exchange(entry.m_held, {});
+    if (entry.m_strikes.empty()) {
+        node.m_gate.m_quarantine.m_suspects.erase(fingerprint);
+    }
+    for (const auto& id : held) {
+        admit(node, surroundings, id);
+    }
+}
+
+/// Replaces an attempt by its tombstone.
+void finish(node_state& node, context& surroundings, const attempt_id& id, attempt_fate fate)
+{
+    auto& state = node.m_gate;
+    const auto found = state.m_attempts.find(id);
+    assert(found != state.m_attempts.end());
+    const auto attempt = std::move(found->second);
+    state.m_due.erase({attempt.m_due, id});
+    state.m_by_exchange.erase(attempt.m_exchange);
+    state.m_by_transfer.erase(attempt.m_transfer);
+    state.m_attempts.erase(found);
+    bury(state.m_tombstones, attempt.m_link.m_attempt, fate, surroundings.m_now);
+    if (is_suspect_runner(state, attempt)) {
+        release_held(node, surroundings, attempt.m_link.m_fingerprint);
+    }
+}
+
+admission::run_result result_of(const gate_attempt& attempt)
+{
+    if (attempt.m_phase != gate_phase::relaying) {
+        return admission::run_result::cancelled;
+    }
+    if (attempt.m_was_load_refused) {
+        return admission::run_result::load_refused;
+    }
+    return attempt.m_has_failed ? admission::run_result::failed : admission::run_result::good;
+}
+
+/// Tries a fresh connection once, if the request is idempotent and the repeats are not used up.
+bool repeat_on_fresh_connection(node_state& node, context& surroundings, gate_attempt& attempt)
+{
+    const auto upstream = node.m_gate.m_upstreams.find(attempt.m_link.m_endpoint);
+    if (attempt.m_repeat != gate_repeat::allowed || upstream == node.m_gate.m_upstreams.end() ||
+        upstream->second.m_repeat_balance < 1) {
+        return false;
+    }
+    upstream->second.m_repeat_balance -= 1;
+    attempt.m_repeat = gate_repeat::used;
+    emit(surroundings, cancel_transfer{attempt.m_transfer});
+    node.m_gate.m_by_transfer.erase(attempt.m_transfer);
+    send_to_upstream(node, surroundings, attempt, connection_choice::fresh);
+    return true;
+}
+
+void end_late(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    if (attempt.m_phase == gate_phase::held) {
+        withdraw(node, attempt);
+        refuse_attempt(node, surroundings, id, refusal_kind::deadline_exceeded);
+        return;
+    }
+    emit(surroundings, cancel_transfer{attempt.m_transfer});
+    give_evidence(node, surroundings, attempt, run_evidence::silent);
+    answer_refusal(surroundings, attempt.m_exchange, id,
+                   {refusal_kind::deadline_exceeded, request_outcome::unknown});
+    end_run(node, surroundings, id, attempt_fate::may_run);
+}
+
+void look_at(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    if (attempt.m_deadline <= surroundings.m_now) {
+        end_late(node, surroundings, id);
+    }
+    else if (!repeat_on_fresh_connection(node, surroundings, attempt)) {
+        give_evidence(node, surroundings, attempt, run_evidence::silent);
+        set_due(node.m_gate, attempt, attempt.m_deadline);
+    }
+}
+
+observed_result observed(run_evidence seen, const gate_attempt& attempt)
+{
+    switch (seen) {
+    case run_evidence::answered:
+        return attempt.m_has_failed ? observed_result::server_error : observed_result::good;
+    case run_evidence::broke_off:
+        return observed_result::server_error;
+    case run_evidence::crossed:
+    case run_evidence::truncated:
+        return observed_result::wrong;
+    case run_evidence::silent:
+        return observed_result::timed_out;
+    }
+    assert(false);
+    return observed_result::wrong;
+}
+
+} // namespace
+
+void admit(node_state& node, context& surroundings, const attempt_id& id)
+{
+    const auto& link = node.m_gate.m_attempts.at(id).m_link;
+    if (find_serving(node.m_gate, link.m_endpoint) == nullptr) {
+        refuse_attempt(node, surroundings, id, refusal_kind::no_upstream);
+        return;
+    }
+    switch (
+        quarantine::standing_of(node.m_gate.m_quarantine, link.m_fingerprint, surroundings.m_now)) {
+    case quarantine::standing::clear:
+        offer(node, surroundings, id);
+        break;
+    case quarantine::standing::suspected:
+        admit_suspected(node, surroundings, id);
+        break;
+    case quarantine::standing::quarantined:
+        refuse_attempt(node, surroundings, id, refusal_kind::quarantined);
+        break;
+    }
+}
+
+void start_waiting(node_state& node, context& surroundings)
+{
+    for (const auto& waiting : admission::take_startable(node.m_admission, surroundings.m_now)) {
+        hand_over(node, surroundings, waiting.m_attempt);
+    }
+}
+
+void refuse_attempt(node_state& node, context& surroundings, const attempt_id& id,
+                    refusal_kind kind)
+{
+    answer_refusal(surroundings, node.m_gate.m_attempts.at(id).m_exchange, id,
+                   {kind, request_outcome::not_run, 1s});
+    finish(node, surroundings, id, attempt_fate::not_run);
+}
+
+void withdraw(node_state& node, const gate_attempt& attempt)
+{
+    const auto& id = attempt.m_link.m_attempt;
+    if (attempt.m_phase == gate_phase::queued) {
+        admission::withdraw(node.m_admission, attempt.m_link.m_endpoint, id);
+        return;
+    }
+    assert(attempt.m_phase == gate_phase::held);
+    auto& suspects = node.m_gate.m_quarantine.m_suspects;
+    if (const auto found = suspects.find(attempt.m_link.m_fingerprint); found != suspects.end()) {
+        std::erase(found->second.m_held, id);
+    }
+}
+
+void end_run(node_state& node, context& surroundings, const attempt_id& id, attempt_fate fate)
+{
+    const auto& attempt = node.m_gate.m_attempts.at(id);
+    admission::finished(node.m_admission, attempt.m_link.m_endpoint, result_of(attempt),
+                        attempt.m_latency, surroundings.m_now);
+    finish(node, surroundings, id, fate);
+    start_waiting(node, surroundings);
+}
+
+void check_due(node_state& node, context& surroundings)
+{
+    auto& due = node.m_gate.m_due;
+    while (!due.empty() && due.begin()->m_at <= surroundings.m_now) {
+        look_at(node, surroundings, attempt_id{due.begin()->m_attempt});
+    }
+}
+
+void give_evidence(node_state& node, context& surroundings, const gate_attempt& attempt,
+                   run_evidence seen)
+{
+    const auto& link = attempt.m_link;
+    const auto latency = attempt.m_phase == gate_phase::relaying
+                             ? attempt.m_latency
+                             : surroundings.m_now - attempt.m_handed_over_at;
+    health::observe(node.m_health, surroundings,
+                    {{surroundings.m_settings.m_self.m_name, link.m_endpoint},
+                     link.m_service,
+                     link.m_route,
+                     observer::gate,
+                     observed(seen, attempt),
+                     latency});
+}
+
+} // namespace chivevane::gate
--- /dev/null
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -0,0 +1,318 @@
+#include "libpolicy/ingress/attempts.h"
+
+#include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/gate/patience.h"
+#include "libpolicy/health/health.h"
+#include "libpolicy/membership/membership.h"
+#include "libpolicy/node_state.h"
+#include "libwire/link_head.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chivevane::ingress {
+
+namespace {
+
+constexpr duration connect_timeout = 1s;
+constexpr duration stall_timeout = 10s;
+constexpr duration answer_margin = 5ms; // Lets the gate's refusal, which tells the fate, arrive.
+constexpr std::uint32_t max_extra_attempts = 4;
+constexpr duration reading_lifetime = 10s; // A third of what gates accept.
+
+std::vector<upstream_id> tried_upstreams(const ingress_request& request)
+{
+    std::vector<upstream_id> tried;
+    for (const auto& attempt : request.m_attempts) {
+        tried.push_back(attempt.m_destination.m_upstream);
+    }
+    return tried;
+}
+
+/// An upstream of the host that alone may run a suspected request.
+std::optional<destination> find_owner(const node_state& node, const ingress_request& request)
+{
+    const auto& service = request.m_route->m_service;
+    const auto name = quarantine::owner_of(node.m_gate.m_quarantine, node.m_membership, service,
+                                           request.m_fingerprint);
+    const auto* const owner = membership::find_member(node.m_membership, name);
+    if (owner == nullptr) {
+        return std::nullopt;
+    }
+    const auto& latest = owner->m_latest;
+    for (const auto& summary : latest.m_upstreams) {
+        if (summary.m_service == service && summary.m_phase == upstream_phase::serving) {
+            const upstream_id upstream{latest.m_identity.m_name, summary.m_endpoint};
+            return destination{{upstream, latest.m_address, latest.m_identity.m_incarnation}};
+        }
+    }
+    return std::nullopt;
+}
+
+std::int64_t reading_for(const node_state& node, const context& surroundings,
+                         const routing::choice& target)
+{
+    const auto& name = target.m_upstream.m_host;
+    if (name == surroundings.m_settings.m_self.m_name) {
+        return gate::clock_reading(surroundings.m_now);
+    }
+    const auto found = node.m_ingress.m_gate_readings.find(name);
+    const bool is_usable = found != node.m_ingress.m_gate_readings.end() &&
+                           found->second.m_incarnation == target.m_gate_incarnation &&
+                           surroundings.m_now - found->second.m_learned_at < reading_lifetime;
+    return is_usable ? found->second.m_clock : 0;
+}
+
+link_head link_for(const context& surroundings, const ingress_request& request,
+                   const ingress_attempt& attempt)
+{
+    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        request.m_deadline - surroundings.m_now - answer_margin);
+    return {attempt.m_id,
+            attempt.m_destination.m_gate_incarnation,
+            attempt.m_destination.m_upstream.m_endpoint,
+            request.m_route->m_service,
+            request.m_route->m_name,
+            request.m_rules->m_name,
+            request.m_organisation,
+            request.m_revision,
+            request.m_fingerprint,
+            std::max(time_left, std::chrono::milliseconds{1}),
+            attempt.m_gate_clock,
+            request.m_strike};
+}
+
+request_head head_for(const context& surroundings, const ingress_request& request,
+                      const ingress_attempt& attempt)
+{
+    auto head = request.m_phase == ingress_phase::resuming
+                    ? request_for_rest(request.m_head, request.m_answer)
+                    : request.m_head;
+    add_link_fields(head, link_for(surroundings, request, attempt), request.m_body_hash,
+                    surroundings.m_settings.m_shared_secret);
+    return head;
+}
+
+/// When the gate is first asked for a silent attempt.
+void set_patience(const node_state& node, const context& surroundings,
+                  const ingress_request& request, ingress_attempt& attempt)
+{
+    const auto limit = silence_limit(node.m_health, request.m_route->m_service,
+                                     request.m_route->m_name, request.m_route->m_timeout);
+    if (limit) {
+        attempt.m_patience = *limit;
+        attempt.m_next_inquiry = surroundings.m_now + *limit;
+    }
+}
+
+request_outcome overall_outcome(const ingress_request& request)
+{
+    const bool none_ran = std::all_of(
+        request.m_attempts.begin(), request.m_attempts.end(), [](const ingress_attempt& attempt) {
+            return attempt.m_phase == attempt_phase::ended &&
+                   attempt.m_outcome == request_outcome::not_run && !attempt.m_may_be_copied;
+        });
+    return none_ran ? request_outcome::not_run : request_outcome::unknown;
+}
+
+void set_hedge_time(const node_state& node, const context& surroundings, ingress_request& request)
+{
+    const auto& route = *request.m_route;
+    if (route.m_hedging == hedging::off ||
+        request.m_repeatability == routing::repeatability::not_idempotent) {
+        return;
+    }
+    const auto expected =
+        health::expected_latency(node.m_health, route.m_service, route.m_name, route.m_timeout);
+    if (expected < route.m_timeout) {
+        request.m_hedge_at = surroundings.m_now + expected;
+    }
+}
+
+void close_attempt(node_state& node, ingress_attempt& attempt, const refusal& reason)
+{
+    assert(attempt.m_phase != attempt_phase::ended);
+    node.m_ingress.m_by_transfer.erase(attempt.m_transfer);
+    attempt.m_phase = attempt_phase::ended;
+    attempt.m_outcome = reason.m_outcome;
+    attempt.m_next_inquiry = instant::max();
+}
+
+/// Sends the next attempt, waits for one under way, or gives up.
+void go_on(node_state& node, context& surroundings, ingress_request& request, const refusal& reason)
+{
+    if (has_live_attempt(request)) {
+        reschedule(node.m_ingress, request);
+        return;
+    }
+    const auto target = find_destination(node, surroundings, request);
+    if (target && reason.m_kind != refusal_kind::quarantined &&
+        spend_attempt(node, surroundings, request, reason.m_outcome)) {
+        send_attempt(node, surroundings, request, *target);
+        return;
+    }
+    conclude(node, surroundings, request, reason);
+}
+
+} // namespace
+
+void start_first_attempt(node_state& node, context& surroundings, ingress_request& request)
+{
+    request.m_phase = ingress_phase::awaiting_answer;
+    earn_retries(node.m_ingress.m_retry_budget, request.m_route->m_service);
+    const auto standing = quarantine::standing_of(node.m_gate.m_quarantine, request.m_fingerprint,
+                                                  surroundings.m_now);
+    if (standing == quarantine::standing::quarantined) {
+        conclude(node, surroundings, request, {refusal_kind::quarantined});
+        return;
+    }
+    const auto target = find_destination(node, surroundings, request);
+    if (!target) {
+        conclude(node, surroundings, request,
+                 {refusal_kind::no_upstream, request_outcome::not_run, 1s});
+        return;
+    }
+    set_hedge_time(node, surroundings, request);
+    send_attempt(node, surroundings, request, *target);
+}
+
+std::optional<destination> find_destination(node_state& node, context& surroundings,
+                                            const ingress_request& request)
+{
+    switch (quarantine::standing_of(node.m_gate.m_quarantine, request.m_fingerprint,
+                                    surroundings.m_now)) {
+    case quarantine::standing::quarantined:
+        return std::nullopt;
+    case quarantine::standing::suspected:
+        return find_owner(node, request);
+    case quarantine::standing::clear:
+        break;
+    }
+    const auto tried = tried_upstreams(request);
+    const auto chosen = routing::choose_upstream(
+        surroundings, node.m_membership, node.m_health, node.m_configuration,
+        {request.m_route->m_service, request.m_repeatability, tried});
+    return chosen ? std::optional{destination{*chosen}} : std::nullopt;
+}
+
+void send_attempt(node_state& node, context& surroundings, ingress_request& request,
+                  const destination& target)
+{
+    ingress_attempt attempt;
+    const auto number = static_cast<std::uint32_t>(request.m_attempts.size() + 1);
+    attempt.m_id = {surroundings.m_settings.m_self, request.m_number, number};
+    attempt.m_transfer = next_id(surroundings);
+    attempt.m_destination = target.m_choice;
+    attempt.m_gate_clock = reading_for(node, surroundings, target.m_choice);
+    attempt.m_may_be_copied =
+        attempt.m_gate_clock == 0 && request.m_repeatability == routing::repeatability::idempotent;
+    attempt.m_started_at = surroundings.m_now;
+    set_patience(node, surroundings, request, attempt);
+    const auto& gate = target.m_choice.m_gate;
+    emit(surroundings, start_transfer{attempt.m_transfer, request.m_exchange, gate.m_ip,
+                                      gate.m_gate_port, head_for(surroundings, request, attempt),
+                                      target.m_connection, connect_timeout, stall_timeout});
+    node.m_ingress.m_by_transfer[attempt.m_transfer] = request.m_exchange;
+    request.m_attempts.push_back(std::move(attempt));
+    reschedule(node.m_ingress, request);
+}
+
+bool spend_attempt(node_state& node, context& surroundings, const ingress_request& request,
+                   request_outcome outcome)
+{
+    const auto limit =
+        request.m_route->m_attempts + request.m_extra_attempts + request.m_answer.m_resumptions;
+    if (request.m_attempts.size() >= limit || request.m_deadline <= surroundings.m_now) {
+        return false;
+    }
+    auto& budget = node.m_ingress.m_retry_budget;
+    const auto& service = request.m_route->m_service;
+    if (outcome == request_outcome::not_run) {
+        return spend_reroute(budget, service);
+    }
+    return request.m_repeatability == routing::repeatability::idempotent &&
+           spend_retry(budget, service, surroundings.m_now);
+}
+
+void end_attempt(node_state& node, context& surroundings, ingress_request& request,
+                 ingress_attempt& attempt, const refusal& reason)
+{
+    close_attempt(node, attempt, reason);
+    go_on(node, surroundings, request, reason);
+}
+
+void resend_to_same_gate(node_state& node, context& surroundings, ingress_request& request,
+                         ingress_attempt& attempt, connection_choice connection)
+{
+    constexpr refusal reason{refusal_kind::upstream_failed, request_outcome::not_run, 1s};
+    close_attempt(node, attempt, reason);
+    if (request.m_extra_attempts >= max_extra_attempts || has_live_attempt(request)) {
+        go_on(node, surroundings, request, reason);
+        return;
+    }
+    ++request.m_extra_attempts;
+    send_attempt(node, surroundings, request, {routing::choice{attempt.m_destination}, connection});
+}
+
+void cancel_attempt(node_state& node, context& surroundings, ingress_attempt& attempt)
+{
+    if (node.m_ingress.m_by_transfer.erase(attempt.m_transfer) > 0) {
+        emit(surroundings, cancel_transfer{attempt.m_transfer});
+    }
+}
+
+void conclude(node_state& node, context& surroundings, ingress_request& request, refusal reason)
+{
+    reason.m_outcome = overall_outcome(request);
+    if (request.m_phase == ingress_phase::relaying || request.m_phase == ingress_phase::resuming) {
+        emit(surroundings, abort_exchange{request.m_exchange});
+    }
+    else {
+        emit(surroundings, make_refusal(request.m_exchange, reason));
+    }
+    for (auto& attempt : request.m_attempts) {
+        cancel_attempt(node, surroundings, attempt);
+    }
+    forget_request(node, request);
+}
+
+void forget_request(node_state& node, ingress_request& request)
+{
+    auto& state = node.m_ingress;
+    for (const auto& attempt : request.m_attempts) {
+        state.m_by_transfer.erase(attempt.m_transfer);
+    }
+    state.m_due.erase({request.m_due, request.m_exchange});
+    state.m_by_number.erase(request.m_number);
+    state.m_requests.erase(exchange_id{request.m_exchange});
+}
+
+void reschedule(ingress_state& state, ingress_request& request)
+{
+    auto due = request.m_phase == ingress_phase::relaying ? instant::max() : request.m_deadline;
+    if (request.m_phase == ingress_phase::awaiting_answer) {
+        due = std::min(due, request.m_hedge_at);
+    }
+    for (const auto& attempt : request.m_attempts) {
+        due = std::min(due, attempt.m_next_inquiry);
+    }
+    if (due == request.m_due) {
+        return;
+    }
+    state.m_due.erase({request.m_due, request.m_exchange});
+    request.m_due = due;
+    if (due != instant::max()) {
+        state.m_due.insert({due, request.m_exchange});
+    }
+}
+
+bool has_live_attempt(const ingress_request& request)
+{
+    return std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
+                       [](const ingress_attempt& attempt) {
+                           return attempt.m_phase == attempt_phase::sent ||
+                                  attempt.m_phase == attempt_phase::voiding;
+                       });
+}
+
+} // namespace chivevane::ingress
--- /dev/null
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "libpolicy/context.h"
+#include "libpolicy/ingress/ingress_state.h"
+
+#include <optional>
+
+namespace chivevane {
+
+struct node_state;
+
+}
+
+/// Where the attempts of a request go, and what follows when one has ended.
+namespace chivevane::ingress {
+
+/// Where an attempt is sent.
+struct destination {
+    routing::choice m_choice;
+    connection_choice m_connection = connection_choice::reuse;
+};
+
+/// Starts the first attempt.
+void start_first_attempt(node_state& node, context& surroundings, ingress_request& request);
+
+/// Where the next attempt may go: to the owner of a suspected request, or as routing says.
+std::optional<destination> find_destination(node_state& node, context& surroundings,
+                                            const ingress_request& request);
+
+/// Sends one more attempt.
+void send_attempt(node_state& node, context& surroundings, ingress_request& request,
+                  const destination& target);
+
+/// Takes the right to one more attempt from the bounds of the route and the budget. `outcome` is
+/// that of the attempt before it.
+bool spend_attempt(node_state& node, context& surroundings, const ingress_request& request,
+                   request_outcome outcome);
+
+/// An attempt has ended without an answer: goes on elsewhere if that is safe and affordable, waits
+/// for another attempt under way, or tells the caller why it failed.
+void end_attempt(node_state& node, context& surroundings, ingress_request& request,
+                 ingress_attempt& attempt, const refusal& reason);
+
+/// Sends an attempt anew to the same gate, as no upstream saw it. Ends it if that was done before.
+void resend_to_same_gate(node_state& node, context& surroundings, ingress_request& request,
+                         ingress_attempt& attempt, connection_choice connection);
+
+/// Closes the connection of an attempt that is awaited.
+void cancel_attempt(node_state& node, context& surroundings, ingress_attempt& attempt);
+
+/// Refuses the request, or cuts its answer visibly if a part was relayed. `m_outcome` of `reason`
+/// is not used: the outcome follows from all attempts.
+void conclude(node_state& node, context& surroundings, ingress_request& request, refusal reason);
+
+/// Forgets a request that has ended. Its connections must have been cancelled.
+void forget_request(node_state& node, ingress_request& request);
+
+/// Puts the request in its place in the order of time.
+void reschedule(ingress_state& state, ingress_request& request);
+
+/// Whether an answer to any attempt is still awaited.
+bool has_live_attempt(const ingress_request& request);
+
+} // namespace chivevane::ingress
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -1,226 +1,425 @@
 #include "libpolicy/ingress/ingress.h"
 
 #include "libbase/digest.h"
-#include "libdocument/match_route.h"
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/forwarding.h"
+#include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/health/health.h"
+#include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/caller_request.h"
+#include "libpolicy/ingress/inquiries.h"
+#include "libpolicy/ingress/method.h"
 #include "libpolicy/limits/limits.h"
 #include "libpolicy/node_state.h"
 #include "libpolicy/refusal.h"
-#include "libpolicy/routing/routing.h"
 #include "libwire/link_head.h"
 
 #include <algorithm>
+#include <cassert>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace chivevane::ingress {
 
 namespace {
 
-constexpr duration connect_timeout = 1s;
-constexpr duration stall_timeout = 10s;
+constexpr std::size_t max_gate_readings = 4096; // More hosts than one ingress speaks to.
 
-routing::repeatability repeatability_of(std::string_view method)
+std::uint64_t fingerprint_of(const ingress_request& request)
+{
+    return stable_hash(fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation,
+                                   request.m_route->m_name, request.m_head.m_method,
+                                   request.m_head.m_target, request.m_body_hash));
+}
+
+ingress_request make_request(const inbound_request& inbound, const caller_judgement& judgement,
+                             instant now)
+{
+    ingress_request request;
+    request.m_exchange = inbound.m_exchange;
+    request.m_head = forwardable_request(inbound.m_head);
+    request.m_body_hash = inbound.m_body_hash;
+    request.m_rules = judgement.m_rules;
+    request.m_route = judgement.m_route;
+    request.m_revision = judgement.m_revision;
+    request.m_organisation = judgement.m_organisation;
+    request.m_limit = judgement.m_limit;
+    request.m_repeatability = is_idempotent(inbound.m_head.m_method)
+                                  ? routing::repeatability::idempotent
+                                  : routing::repeatability::not_idempotent;
+    request.m_deadline = now + deadline_of(inbound.m_head, *judgement.m_route);
+    request.m_fingerprint = fingerprint_of(request);
+    return request;
+}
+
+ingress_request& keep(ingress_state& state, ingress_request request)
+{
+    request.m_number = ++state.m_last_request;
+    state.m_by_number[request.m_number] = request.m_exchange;
+    const auto exchange = request.m_exchange;
+    auto& kept = state.m_requests[exchange] = std::move(request);
+    reschedule(state, kept);
+    return kept;
+}
+
+void apply_verdict(node_state& node, context& surroundings, ingress_request& request,
+                   const limits::verdict& verdict)
 {
-    const bool is_idempotent = method == "GET" || method == "HEAD" || method == "OPTIONS" ||
-                               method == "PUT" || method == "DELETE";
-    return is_idempotent ? routing::repeatability::idempotent
-                         : routing::repeatability::not_idempotent;
+    if (std::holds_alternative<limits::granted>(verdict)) {
+        start_first_attempt(node, surroundings, request);
+    }
+    else if (const auto* refused = std::get_if<limits::refused>(&verdict)) {
+        conclude(node, surroundings, request,
+                 {refusal_kind::rate_exceeded, request_outcome::not_run, refused->m_retry_after});
+    }
 }
 
-void end_request(node_state& node, exchange_id exchange)
+std::optional<refusal> reason_not_to_serve(const node_state& node, const context& surroundings)
 {
-    const auto& request = node.m_ingress.m_requests.at(exchange);
-    for (const auto& attempt : request.m_attempts) {
-        node.m_ingress.m_by_transfer.erase(attempt.m_transfer);
+    if (node.m_ingress.m_is_leaving) {
+        return refusal{refusal_kind::leaving};
+    }
+    if (!configuration::may_serve(node.m_configuration, surroundings.m_now)) {
+        return refusal{refusal_kind::not_ready, request_outcome::not_run, 1s};
     }
-    node.m_ingress.m_requests.erase(exchange);
+    return std::nullopt;
+}
+
+/// A request with the one of its attempts that an event is about.
+struct found_attempt {
+    ingress_request& m_request;
+    ingress_attempt& m_attempt;
+};
+
+found_attempt find_by_transfer(ingress_state& state, transfer_id transfer)
+{
+    auto& request = state.m_requests.at(state.m_by_transfer.at(transfer));
+    const auto found =
+        std::find_if(request.m_attempts.begin(), request.m_attempts.end(),
+                     [transfer](const auto& each) { return each.m_transfer == transfer; });
+    assert(found != request.m_attempts.end());
+    return {request, *found};
 }
 
-void refuse(node_state& node, context& surroundings, exchange_id exchange, const refusal& reason)
+void observe(node_state& node, context& surroundings, const found_attempt& about,
+             observed_result seen)
 {
-    emit(surroundings, make_refusal(exchange, reason));
-    end_request(node, exchange);
+    const auto& [request, attempt] = about;
+    health::observe(node.m_health, surroundings,
+                    {attempt.m_destination.m_upstream, request.m_route->m_service,
+                     request.m_route->m_name, observer::ingress, seen,
+                     surroundings.m_now - attempt.m_started_at});
 }
 
-std::vector<upstream_id> tried_upstreams(const ingress_request& request)
+/// An attempt that may have run has no answer: asks for its fate where a second run would do harm.
+void lose_answer(node_state& node, context& surroundings, const found_attempt& about,
+                 refusal_kind kind)
 {
-    std::vector<upstream_id> tried;
-    for (const auto& attempt : request.m_attempts) {
-        tried.push_back(attempt.m_upstream);
+    const auto& [request, attempt] = about;
+    if (request.m_repeatability == routing::repeatability::idempotent) {
+        end_attempt(node, surroundings, request, attempt, {kind, request_outcome::unknown});
+        return;
     }
-    return tried;
+    begin_void(node, surroundings, request, attempt);
 }
 
-std::uint64_t fingerprint_of(const ingress_request& request)
+void learn_clock(ingress_state& state, const ingress_attempt& attempt, const response_head& head,
+                 instant now)
 {
-    return stable_hash(fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation,
-                                   request.m_route->m_name, request.m_head.m_method,
-                                   request.m_head.m_target, request.m_body_hash));
+    const auto digits = find_field(head.m_fields, gate_clock_field).value_or("");
+    std::int64_t reading = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), reading);
+    if (reading <= 0) {
+        return;
+    }
+    if (state.m_gate_readings.size() >= max_gate_readings) {
+        state.m_gate_readings.clear(); // They are learned anew with the next answers.
+    }
+    const auto& destination = attempt.m_destination;
+    state.m_gate_readings[destination.m_upstream.m_host] = {destination.m_gate_incarnation, reading,
+                                                            now};
+}
+
+std::optional<duration> retry_after_of(const response_head& head)
+{
+    const auto digits = find_field(head.m_fields, "Retry-After").value_or("");
+    int seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return seconds > 0 ? std::optional<duration>{std::chrono::seconds{seconds}} : std::nullopt;
 }
 
-/// Starts the next attempt, or refuses the request when there is nowhere to send it.
-void start_attempt(node_state& node, context& surroundings, ingress_request& request)
+/// Remembers which run of an upstream broke off on the request, so that the next gate knows.
+void note_strike(node_state& node, context& surroundings, ingress_request& request,
+                 const response_head& head)
 {
-    const auto tried = tried_upstreams(request);
-    const routing::question asked{request.m_route->m_service,
-                                  repeatability_of(request.m_head.m_method), tried};
-    const auto chosen = routing::choose_upstream(surroundings, node.m_membership, node.m_health,
-                                                 node.m_configuration, asked);
-    if (!chosen) {
-        refuse(node, surroundings, request.m_exchange,
-               {refusal_kind::no_upstream, request_outcome::not_run, 1s});
+    const auto strike = find_field(head.m_fields, strike_field);
+    if (!strike) {
         return;
     }
-    const auto number = static_cast<std::uint32_t>(request.m_attempts.size() + 1);
-    ingress_attempt attempt{{surroundings.m_settings.m_self, node.m_ingress.m_last_request, number},
-                            next_id(surroundings),
-                            chosen->m_upstream,
-                            chosen->m_gate_incarnation,
-                            surroundings.m_now};
-    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        request.m_deadline - surroundings.m_now);
-    const link_head link{attempt.m_id,
-                         chosen->m_gate_incarnation,
-                         chosen->m_upstream.m_endpoint,
-                         request.m_route->m_service,
-                         request.m_route->m_name,
-                         request.m_rules->m_name,
-                         request.m_organisation,
-                         request.m_revision,
-                         fingerprint_of(request),
-                         time_left};
-    auto head = request.m_head;
-    add_link_fields(head, link, request.m_body_hash, surroundings.m_settings.m_shared_secret);
-    emit(surroundings, start_transfer{attempt.m_transfer, request.m_exchange, chosen->m_gate.m_ip,
-                                      chosen->m_gate.m_gate_port, std::move(head),
-                                      connection_choice::reuse, connect_timeout, stall_timeout});
-    node.m_ingress.m_by_transfer[attempt.m_transfer] = request.m_exchange;
-    request.m_phase = ingress_phase::awaiting_answer;
-    request.m_attempts.push_back(std::move(attempt));
+    request.m_strike = *strike;
+    quarantine::add_strike(node.m_gate.m_quarantine, request.m_fingerprint, *strike,
+                           surroundings.m_now);
 }
 
-void apply_verdict(node_state& node, context& surroundings, ingress_request& request,
-                   const limits::verdict& verdict)
+/// The gate answered in place of its upstream.
+void take_gate_refusal(node_state& node, context& surroundings, const found_attempt& about,
+                       const response_head& head, std::string_view reason)
 {
-    if (std::holds_alternative<limits::granted>(verdict)) {
-        start_attempt(node, surroundings, request);
+    const auto& [request, attempt] = about;
+    const bool not_run = find_field(head.m_fields, fate_field) == "not-run";
+    const auto retry_after = retry_after_of(head);
+    note_strike(node, surroundings, request, head);
+    cancel_attempt(node, surroundings, attempt);
+    if (not_run && reason == gate::clock_required) {
+        resend_to_same_gate(node, surroundings, request, attempt, connection_choice::reuse);
+        return;
     }
-    else if (const auto* refused = std::get_if<limits::refused>(&verdict)) {
-        refuse(node, surroundings, request.m_exchange,
-               {refusal_kind::rate_exceeded, request_outcome::not_run, refused->m_retry_after});
+    const auto kind = parse_refusal_kind(reason).value_or(refusal_kind::upstream_failed);
+    end_attempt(node, surroundings, request, attempt,
+                {kind, not_run ? request_outcome::not_run : request_outcome::unknown, retry_after});
+}
+
+/// Whether another upstream may answer where this one says that it cannot.
+bool is_worth_retry(const response_head& head)
+{
+    return head.m_status == 502 || head.m_status == 503 || head.m_status == 504;
+}
+
+/// Asks another upstream in place of relaying the answer. False if there is none or no budget.
+bool retry_elsewhere(node_state& node, context& surroundings, const found_attempt& about)
+{
+    const auto& [request, attempt] = about;
+    const auto target = find_destination(node, surroundings, request);
+    if (!target || target->m_choice.m_upstream == attempt.m_destination.m_upstream ||
+        !spend_attempt(node, surroundings, request, request_outcome::unknown)) {
+        return false;
     }
+    cancel_attempt(node, surroundings, attempt);
+    attempt.m_phase = attempt_phase::ended;
+    attempt.m_next_inquiry = instant::max();
+    send_attempt(node, surroundings, request, *target);
+    return true;
 }
 
-} // namespace
+void relay(node_state& node, context& surroundings, const found_attempt& about,
+           std::optional<response_head> head)
+{
+    const auto& [request, attempt] = about;
+    attempt.m_phase = attempt_phase::answered;
+    attempt.m_next_inquiry = instant::max();
+    for (auto& other : request.m_attempts) {
+        if (&other != &attempt && other.m_phase != attempt_phase::ended) {
+            cancel_attempt(node, surroundings, other);
+            other.m_phase = attempt_phase::ended;
+            other.m_next_inquiry = instant::max();
+        }
+    }
+    request.m_phase = ingress_phase::relaying;
+    emit(surroundings, relay_transfer{attempt.m_transfer, request.m_exchange, std::move(head)});
+    reschedule(node.m_ingress, request);
+}
 
-void on_request(node_state& node, context& surroundings, const inbound_request& inbound)
+void take_answer(node_state& node, context& surroundings, const found_attempt& about,
+                 const response_head& head)
 {
-    if (node.m_ingress.m_is_leaving) {
-        emit(surroundings, make_refusal(inbound.m_exchange, {refusal_kind::leaving}));
+    const auto& [request, attempt] = about;
+    if (request.m_phase == ingress_phase::resuming) {
+        if (is_rest_of(request.m_answer, head)) {
+            relay(node, surroundings, about, std::nullopt);
+            return;
+        }
+        cancel_attempt(node, surroundings, attempt);
+        end_attempt(node, surroundings, request, attempt,
+                    {refusal_kind::upstream_failed, request_outcome::unknown});
         return;
     }
-    if (!configuration::may_serve(node.m_configuration, surroundings.m_now)) {
-        emit(surroundings, make_refusal(inbound.m_exchange,
-                                        {refusal_kind::not_ready, request_outcome::not_run, 1s}));
+    if (is_worth_retry(head) && retry_elsewhere(node, surroundings, about)) {
+        return;
+    }
+    request.m_answer = begin_answer(request.m_head, head);
+    relay(node, surroundings, about, forwardable_response(head));
+}
+
+/// The answer broke off: goes on with it elsewhere, or cuts it visibly.
+void resume_or_cut(node_state& node, context& surroundings, const found_attempt& about)
+{
+    const auto& [request, attempt] = about;
+    const refusal reason{refusal_kind::upstream_failed, request_outcome::unknown};
+    node.m_ingress.m_by_transfer.erase(attempt.m_transfer);
+    attempt.m_phase = attempt_phase::ended;
+    const auto target = find_destination(node, surroundings, request);
+    if (!target || !may_resume(request.m_answer) ||
+        !spend_retry(node.m_ingress.m_retry_budget, request.m_route->m_service,
+                     surroundings.m_now)) {
+        conclude(node, surroundings, request, reason);
+        return;
+    }
+    ++request.m_answer.m_resumptions;
+    request.m_phase = ingress_phase::resuming;
+    request.m_deadline = surroundings.m_now + request.m_route->m_timeout;
+    send_attempt(node, surroundings, request, *target);
+}
+
+void end_relay(node_state& node, context& surroundings, const found_attempt& about,
+               const transfer_ended& end)
+{
+    auto& request = about.m_request;
+    const bool is_complete = is_whole(request.m_answer, end.m_body_bytes) &&
+                             (end.m_end == transfer_end::complete || request.m_answer.m_length);
+    request.m_answer.m_relayed += end.m_body_bytes;
+    if (is_complete) {
+        emit(surroundings, finish_exchange{request.m_exchange});
+        forget_request(node, request);
+        return;
+    }
+    observe(node, surroundings, about,
+            end.m_end == transfer_end::broken ? observed_result::unreachable
+                                              : observed_result::wrong);
+    resume_or_cut(node, surroundings, about);
+}
+
+/// Sends a second attempt while the first is late, if there is an untried upstream.
+void hedge(node_state& node, context& surroundings, ingress_request& request)
+{
+    request.m_hedge_at = instant::max();
+    const auto target = find_destination(node, surroundings, request);
+    const auto is_tried = [&target](const ingress_attempt& attempt) {
+        return attempt.m_destination.m_upstream == target->m_choice.m_upstream;
+    };
+    if (target && std::none_of(request.m_attempts.begin(), request.m_attempts.end(), is_tried) &&
+        spend_attempt(node, surroundings, request, request_outcome::unknown)) {
+        send_attempt(node, surroundings, request, *target);
+    }
+    reschedule(node.m_ingress, request);
+}
+
+void end_late(node_state& node, context& surroundings, ingress_request& request)
+{
+    if (request.m_phase == ingress_phase::awaiting_token) {
+        limits::withdraw_ticket(node.m_limits, request.m_exchange);
+    }
+    conclude(node, surroundings, request, {refusal_kind::deadline_exceeded});
+}
+
+void look_at(node_state& node, context& surroundings, ingress_request& request)
+{
+    const auto now = surroundings.m_now;
+    if (request.m_phase != ingress_phase::relaying && request.m_deadline <= now) {
+        end_late(node, surroundings, request);
+        return;
+    }
+    const auto due =
+        std::find_if(request.m_attempts.begin(), request.m_attempts.end(),
+                     [now](const auto& attempt) { return attempt.m_next_inquiry <= now; });
+    if (due != request.m_attempts.end()) {
+        inquire(node, surroundings, request, *due);
         return;
     }
-    auto judged = judge_caller(node.m_configuration, inbound.m_head);
+    hedge(node, surroundings, request);
+}
+
+} // namespace
+
+void on_request(node_state& node, context& surroundings, const inbound_request& inbound)
+{
+    if (const auto reason = reason_not_to_serve(node, surroundings)) {
+        emit(surroundings, make_refusal(inbound.m_exchange, *reason));
+        return;
+    }
+    const auto judged = judge_caller(node.m_configuration, inbound.m_head);
     if (const auto* kind = std::get_if<refusal_kind>(&judged)) {
         emit(surroundings, make_refusal(inbound.m_exchange, {*kind}));
         return;
     }
-    auto& judgement = std::get<caller_judgement>(judged);
-    ingress_request request;
-    request.m_exchange = inbound.m_exchange;
-    request.m_head = forwardable_request(inbound.m_head);
-    request.m_body_hash = inbound.m_body_hash;
-    request.m_rules = judgement.m_rules;
-    request.m_route = judgement.m_route;
-    request.m_revision = judgement.m_revision;
-    request.m_organisation = judgement.m_organisation;
-    request.m_limit = judgement.m_limit;
-    request.m_deadline = surroundings.m_now + deadline_of(inbound.m_head, *judgement.m_route);
-    ++node.m_ingress.m_last_request;
-    auto& kept = node.m_ingress.m_requests[inbound.m_exchange] = std::move(request);
-    if (kept.m_organisation.empty()) {
-        start_attempt(node, surroundings, kept);
+    auto& request = keep(node.m_ingress, make_request(inbound, std::get<caller_judgement>(judged),
+                                                      surroundings.m_now));
+    if (request.m_organisation.empty()) {
+        start_first_attempt(node, surroundings, request);
         return;
     }
-    const auto organisation = kept.m_rules->m_name + "/" + kept.m_organisation;
-    apply_verdict(node, surroundings, kept,
+    const auto organisation = request.m_rules->m_name + "/" + request.m_organisation;
+    apply_verdict(node, surroundings, request,
                   limits::take_token(node.m_limits, surroundings, node.m_membership, organisation,
-                                     kept.m_limit, kept.m_exchange));
+                                     request.m_limit, request.m_exchange));
 }
 
 void on_gone(node_state& node, context& surroundings, exchange_id exchange)
 {
-    const auto& request = node.m_ingress.m_requests.at(exchange);
+    auto& request = node.m_ingress.m_requests.at(exchange);
     if (request.m_phase == ingress_phase::awaiting_token) {
         limits::withdraw_ticket(node.m_limits, exchange);
     }
-    else {
-        emit(surroundings, cancel_transfer{request.m_attempts.back().m_transfer});
+    for (auto& attempt : request.m_attempts) {
+        cancel_attempt(node, surroundings, attempt);
     }
-    end_request(node, exchange);
+    forget_request(node, request);
 }
 
 void on_transfer_head(node_state& node, context& surroundings, const transfer_head& answer)
 {
-    auto& request =
-        node.m_ingress.m_requests.at(node.m_ingress.m_by_transfer.at(answer.m_transfer));
-    const auto& attempt = request.m_attempts.back();
-    const auto echo = find_field(answer.m_head.m_fields, attempt_field);
-    if (echo != to_string(attempt.m_id)) {
-        emit(surroundings, cancel_transfer{answer.m_transfer});
-        refuse(node, surroundings, request.m_exchange,
-               {refusal_kind::upstream_failed, request_outcome::unknown});
+    const auto about = find_by_transfer(node.m_ingress, answer.m_transfer);
+    auto& attempt = about.m_attempt;
+    if (attempt.m_phase != attempt_phase::sent) {
         return;
     }
-    const bool not_run = find_field(answer.m_head.m_fields, fate_field) == "not-run";
-    if (not_run && request.m_attempts.size() < request.m_route->m_attempts) {
-        emit(surroundings, cancel_transfer{answer.m_transfer});
-        start_attempt(node, surroundings, request);
+    const auto& fields = answer.m_head.m_fields;
+    if (find_field(fields, attempt_field) != to_string(attempt.m_id)) {
+        cancel_attempt(node, surroundings, attempt);
+        observe(node, surroundings, about, observed_result::wrong);
+        lose_answer(node, surroundings, about, refusal_kind::upstream_failed);
         return;
     }
-    request.m_phase = ingress_phase::relaying;
-    emit(surroundings, relay_transfer{answer.m_transfer, request.m_exchange,
-                                      forwardable_response(answer.m_head)});
+    learn_clock(node.m_ingress, attempt, answer.m_head, surroundings.m_now);
+    if (const auto reason = find_field(fields, reason_field)) {
+        take_gate_refusal(node, surroundings, about, answer.m_head, *reason);
+        return;
+    }
+    take_answer(node, surroundings, about, answer.m_head);
 }
 
 void on_transfer_ended(node_state& node, context& surroundings, const transfer_ended& end)
 {
-    auto& request = node.m_ingress.m_requests.at(node.m_ingress.m_by_transfer.at(end.m_transfer));
-    if (request.m_phase == ingress_phase::relaying) {
-        if (end.m_end == transfer_end::complete) {
-            emit(surroundings, finish_exchange{request.m_exchange});
-        }
-        else {
-            emit(surroundings, abort_exchange{request.m_exchange});
-        }
-        end_request(node, request.m_exchange);
+    const auto about = find_by_transfer(node.m_ingress, end.m_transfer);
+    if (about.m_attempt.m_phase == attempt_phase::answered) {
+        end_relay(node, surroundings, about, end);
         return;
     }
-    const bool may_repeat =
-        end.m_end == transfer_end::connect_failed ||
-        repeatability_of(request.m_head.m_method) == routing::repeatability::idempotent;
-    if (may_repeat && request.m_attempts.size() < request.m_route->m_attempts) {
-        start_attempt(node, surroundings, request);
+    if (end.m_end == transfer_end::connect_failed) {
+        observe(node, surroundings, about, observed_result::unreachable);
+        about.m_attempt.m_may_be_copied = false;
+        end_attempt(node, surroundings, about.m_request, about.m_attempt,
+                    {refusal_kind::upstream_failed, request_outcome::not_run, 1s});
         return;
     }
-    const auto outcome = end.m_end == transfer_end::connect_failed ? request_outcome::not_run
-                                                                   : request_outcome::unknown;
-    refuse(node, surroundings, request.m_exchange, {refusal_kind::upstream_failed, outcome});
+    lose_answer(node, surroundings, about, refusal_kind::upstream_failed);
 }
 
-void on_void_response(node_state&, context&, const void_response&) {}
+void on_void_response(node_state& node, context& surroundings, const void_response& response)
+{
+    auto& state = node.m_ingress;
+    const auto& id = response.m_attempt;
+    const auto number = state.m_by_number.find(id.m_request);
+    if (id.m_ingress != surroundings.m_settings.m_self || number == state.m_by_number.end()) {
+        return;
+    }
+    auto& request = state.m_requests.at(number->second);
+    const auto found = std::find_if(request.m_attempts.begin(), request.m_attempts.end(),
+                                    [&id](const auto& attempt) { return attempt.m_id == id; });
+    if (found == request.m_attempts.end() || found->m_inquiries == 0 ||
+        found->m_destination.m_gate_incarnation != response.m_gate_incarnation) {
+        return;
+    }
+    if (found->m_phase == attempt_phase::sent || found->m_phase == attempt_phase::voiding) {
+        apply_fate(node, surroundings, request, *found, response.m_fate);
+    }
+}
 
 void on_tokens_settled(node_state& node, context& surroundings)
 {
     for (const auto& settled : limits::take_settled(node.m_limits)) {
         const auto found = node.m_ingress.m_requests.find(settled.m_ticket);
-        if (found != node.m_ingress.m_requests.end()) {
+        if (found != node.m_ingress.m_requests.end() &&
+            found->second.m_phase == ingress_phase::awaiting_token) {
             apply_verdict(node, surroundings, found->second, settled.m_verdict);
         }
     }
@@ -228,21 +427,9 @@
 
 void on_timer(node_state& node, context& surroundings)
 {
-    std::vector<exchange_id> late;
-    for (const auto& [exchange, request] : node.m_ingress.m_requests) {
-        if (request.m_phase != ingress_phase::relaying &&
-            request.m_deadline <= surroundings.m_now) {
-            late.push_back(exchange);
-        }
-    }
-    for (const auto exchange : late) {
-        const auto& request = node.m_ingress.m_requests.at(exchange);
-        auto outcome = request_outcome::not_run;
-        if (request.m_phase == ingress_phase::awaiting_answer) {
-            emit(surroundings, cancel_transfer{request.m_attempts.back().m_transfer});
-            outcome = request_outcome::unknown;
-        }
-        refuse(node, surroundings, exchange, {refusal_kind::deadline_exceeded, outcome});
+    auto& state = node.m_ingress;
+    while (!state.m_due.empty() && state.m_due.begin()->m_at <= surroundings.m_now) {
+        look_at(node, surroundings, state.m_requests.at(state.m_due.begin()->m_exchange));
     }
 }
 
@@ -258,13 +445,7 @@
 
 instant next_wakeup(const ingress_state& state)
 {
-    auto earliest = instant::max();
-    for (const auto& [exchange, request] : state.m_requests) {
-        if (request.m_phase != ingress_phase::relaying) {
-            earliest = std::min(earliest, request.m_deadline);
-        }
-    }
-    return earliest;
+    return state.m_due.empty() ? instant::max() : state.m_due.begin()->m_at;
 }
 
 } // namespace chivevane::ingress
--- /dev/null
+++ b/libraries/libpolicy/ingress/method.cpp
@@ -0,0 +1,15 @@
+#include "libpolicy/ingress/method.h"
+
+#include <algorithm>
+#include <array>
+
+namespace chivevane {
+
+bool is_idempotent(std::string_view method)
+{
+    constexpr std::array<std::string_view, 6> methods{"GET", "HEAD",   "OPTIONS",
+                                                      "PUT", "DELETE", "TRACE"};
+    return std::find(methods.begin(), methods.end(), method) != methods.end();
+}
+
+} // namespace chivevane
--- a/libraries/libpolicy/refusal.cpp
+++ b/libraries/libpolicy/refusal.cpp
@@ -71,6 +71,16 @@
     return text_of(kind).m_name;
 }
 
+std::optional<refusal_kind> parse_refusal_kind(std::string_view name)
+{
+    for (const auto& text : refusal_texts) {
+        if (text.m_name == name) {
+            return text.m_kind;
+        }
+    }
+    return std::nullopt;
+}
+
 std::uint16_t status_of(refusal_kind kind)
 {
     return text_of(kind).m_status;
--- a/libraries/libpolicy/refusal.h
+++ b/libraries/libpolicy/refusal.h
@@ -42,6 +42,9 @@
 /// The stable name of `kind`: the last part of the problem type.
 std::string_view to_string(refusal_kind kind);
 
+/// The kind called `name`; empty if there is none.
+std::optional<refusal_kind> parse_refusal_kind(std::string_view name);
+
 /// HTTP status of `kind` (RFC 9110 section 15).
 std::uint16_t status_of(refusal_kind kind);
 
--- a/libraries/libwire/link_head.cpp
+++ b/libraries/libwire/link_head.cpp
@@ -82,6 +82,10 @@
     add("Chivevane-Revision", std::to_string(link.m_revision));
     add("Chivevane-Fingerprint", std::to_string(link.m_fingerprint));
     add("Chivevane-Time-Left", std::to_string(link.m_time_left.count()));
+    add(gate_clock_field, std::to_string(link.m_gate_clock));
+    if (!link.m_strike.empty()) {
+        add(strike_field, link.m_strike);
+    }
     add(signature_field, to_hex(hmac_sha256(secret, text_to_sign(head, body_hash))));
 }
 
@@ -111,6 +115,8 @@
     link.m_fingerprint = fields.number<std::uint64_t>("Chivevane-Fingerprint");
     link.m_time_left =
         std::chrono::milliseconds{fields.number<std::int64_t>("Chivevane-Time-Left")};
+    link.m_gate_clock = fields.number<std::int64_t>(gate_clock_field);
+    link.m_strike = find_field(head.m_fields, strike_field).value_or("");
     if (!fields.failed_field().empty()) {
         return malformed(fields.failed_field());
     }
--- a/libraries/libwire/link_head.h
+++ b/libraries/libwire/link_head.h
@@ -23,6 +23,10 @@
     std::uint64_t m_revision = 0; ///< Revision of the document that the request was judged by.
     std::uint64_t m_fingerprint = 0;
     std::chrono::milliseconds m_time_left{}; ///< Until the caller's deadline.
+    std::int64_t m_gate_clock = 0; ///< Latest reading of the gate's own clock that the ingress
+                                   ///< knew, in microseconds; 0 if it knew none.
+    std::string m_strike;          ///< The upstream's run that broke off on this request; may be
+                                   ///< empty. See `crash_report`.
 
     bool operator==(const link_head&) const = default;
 };
@@ -39,6 +43,12 @@
 /// Field of a gate's own refusal: the name of its reason.
 constexpr std::string_view reason_field = "Chivevane-Reason";
 
+/// Field of a gate's answer: its own clock in microseconds.
+constexpr std::string_view gate_clock_field = "Chivevane-Gate-Clock";
+
+/// Field of a gate's refusal: the upstream's run that broke off on the request.
+constexpr std::string_view strike_field = "Chivevane-Strike";
+
 /// Adds the fields for `link` to `head`, signed under `secret` together with method, target and
 /// `body_hash`.
 void add_link_fields(request_head& head, const link_head& link, std::uint64_t body_hash,
--- /dev/null
+++ b/tests/libpolicy/fate_property_test.cpp
@@ -0,0 +1,182 @@
+#include "libpolicy/fleet_harness.h"
+#include "libpolicy/ingress/attempts.h"
+#include "libpolicy/naive_proxy.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+namespace {
+
+std::size_t seed_count(std::size_t ordinary)
+{
+    const auto* const wanted = std::getenv("CHIVEVANE_SEEDS");
+    return wanted == nullptr ? ordinary : std::strtoul(wanted, nullptr, 10);
+}
+
+struct tally {
+    std::size_t m_requests = 0;
+    std::size_t m_whole = 0;
+    std::size_t m_not_run = 0;
+    std::size_t m_unknown = 0;
+    std::size_t m_cut = 0;
+    std::size_t m_voids = 0;
+    std::size_t m_run_twice = 0;
+    std::size_t m_false_not_run = 0;
+    std::size_t m_wrong_body = 0;
+    std::size_t m_unended = 0;
+};
+
+void count(tally& sum, const fleet& tested, const caller_record& record)
+{
+    const auto runs = tested.runs_of(record.m_id);
+    const auto expected = fleet::body_for(record.m_id, record.m_head.m_target);
+    const bool is_whole = record.m_end == caller_record::end::whole;
+    const bool is_answer = record.m_status == 200;
+    ++sum.m_requests;
+    sum.m_whole += is_whole && is_answer;
+    sum.m_not_run += record.is_refusal("not-run");
+    sum.m_unknown += record.is_refusal("unknown");
+    sum.m_cut += record.m_end == caller_record::end::cut;
+    sum.m_unended += record.m_end == caller_record::end::none;
+    sum.m_run_twice += record.m_head.m_method == "POST" && runs > 1;
+    sum.m_false_not_run += record.is_refusal("not-run") && runs > 0;
+    const bool is_wrong =
+        is_whole ? record.m_body != expected : !expected.starts_with(record.m_body);
+    sum.m_wrong_body += is_answer && is_wrong;
+}
+
+/// Random schedules of requests and restarts under random faults.
+tally run_seeds(std::size_t seeds, const fault_plan& most, double restart_share,
+                const decider_factory& factory = make_decider)
+{
+    tally sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        random_engine random{seed};
+        const auto part = [&random](double share) { return share * uniform_fraction(random); };
+        const fault_plan faults{part(most.m_datagram_loss), part(most.m_doubled),
+                                part(most.m_silent),        part(most.m_broken),
+                                part(most.m_refused),       part(most.m_crossed),
+                                part(most.m_slow)};
+        fleet tested{seed, faults, 3, factory};
+        tested.m_observer = [&sum](std::size_t, const effect& item) {
+            const auto* const packet = std::get_if<send_datagram>(&item);
+            sum.m_voids +=
+                packet != nullptr && std::holds_alternative<void_request>(packet->m_message);
+        };
+        for (int step = 0; step < 60; ++step) {
+            const auto host = random(3);
+            const auto* const method = random(3) == 0 ? "GET" : "POST";
+            tested.call(host, method, random(2) == 0 ? "/permits/1" : "/notes/2");
+            tested.run_for(from_seconds(uniform_fraction(random) * 0.05));
+            if (uniform_fraction(random) < restart_share) {
+                tested.restart(random(3));
+            }
+        }
+        tested.run_for(100s); // Longer than the latest copy is under way.
+        for (const auto& record : tested.m_callers) {
+            count(sum, tested, record);
+        }
+        for (const auto& decider : tested.m_deciders) {
+            if (decider.m_node) {
+                sum.m_unended += decider.m_node->m_ingress.m_requests.size() +
+                                 decider.m_node->m_gate.m_attempts.size();
+            }
+        }
+    }
+    BOOST_TEST_MESSAGE("requests=" << sum.m_requests << " whole=" << sum.m_whole
+                                   << " not_run=" << sum.m_not_run << " unknown=" << sum.m_unknown
+                                   << " cut=" << sum.m_cut << " void_requests=" << sum.m_voids
+                                   << " run_twice=" << sum.m_run_twice << " false_not_run="
+                                   << sum.m_false_not_run << " wrong_body=" << sum.m_wrong_body
+                                   << " unended=" << sum.m_unended);
+    return sum;
+}
+
+constexpr fault_plan all_faults{0.5, 0.5, 0.2, 0.3, 0.2, 0.1, 0.3};
+
+constexpr duration test_patience = 120ms; // Attempts of the model that are silent longer are asked
+                                          // for, as if the route's latency were known.
+
+/// Lets the ingress ask for silent attempts, and the gate repeat them, before health knows any
+/// latency.
+void make_impatient(node_state& node, instant now)
+{
+    for (auto& [exchange, request] : node.m_ingress.m_requests) {
+        for (auto& attempt : request.m_attempts) {
+            if (attempt.m_phase == attempt_phase::sent && attempt.m_patience == duration{}) {
+                attempt.m_patience = test_patience;
+                attempt.m_next_inquiry = now + test_patience;
+            }
+        }
+        ingress::reschedule(node.m_ingress, request);
+    }
+    for (auto& [id, attempt] : node.m_gate.m_attempts) {
+        if (attempt.m_phase == gate_phase::running && attempt.m_due == attempt.m_deadline &&
+            attempt.m_repeat == gate_repeat::allowed && now < attempt.m_deadline) {
+            node.m_gate.m_due.erase({attempt.m_due, id});
+            attempt.m_due = std::min(attempt.m_deadline, attempt.m_handed_over_at + test_patience);
+            node.m_gate.m_due.insert({attempt.m_due, id});
+        }
+    }
+}
+
+decider make_impatient_decider(host_settings settings, effect_list& start_effects, instant now)
+{
+    auto made = make_decider(std::move(settings), start_effects, now);
+    made.m_reduce = [inner = made.m_reduce, node = made.m_node](const event& occurrence) {
+        auto effects = inner(occurrence);
+        make_impatient(*node, occurrence.m_at);
+        return effects;
+    };
+    return made;
+}
+
+void check_promises(const tally& sum)
+{
+    BOOST_TEST(sum.m_run_twice == 0U);
+    BOOST_TEST(sum.m_false_not_run == 0U);
+    BOOST_TEST(sum.m_wrong_body == 0U);
+    BOOST_TEST(sum.m_unended == 0U);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fate)
+
+BOOST_AUTO_TEST_CASE(without_faults_every_request_is_answered_whole)
+{
+    const auto sum = run_seeds(3, {}, 0);
+    check_promises(sum);
+    BOOST_TEST(sum.m_whole == sum.m_requests);
+}
+
+BOOST_AUTO_TEST_CASE(under_all_faults_and_restarts_the_promises_hold)
+{
+    const auto sum = run_seeds(seed_count(200), all_faults, 0.05);
+    check_promises(sum);
+    BOOST_TEST(sum.m_voids > 0U);
+    BOOST_TEST(sum.m_not_run > 0U);
+    BOOST_TEST(sum.m_unknown > 0U);
+    BOOST_TEST(sum.m_cut > 0U);
+    BOOST_TEST(sum.m_whole > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_promises_hold_while_silent_connections_are_given_up)
+{
+    const auto sum = run_seeds(seed_count(200), all_faults, 0.05, make_impatient_decider);
+    check_promises(sum);
+}
+
+BOOST_AUTO_TEST_CASE(a_naive_proxy_runs_requests_twice_and_passes_wrong_answers_on)
+{
+    const auto sum = run_seeds(20, all_faults, 0.05, make_naive_decider);
+    BOOST_TEST(sum.m_run_twice > 0U);
+    BOOST_TEST(sum.m_false_not_run > 0U);
+    BOOST_TEST(sum.m_wrong_body > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/libpolicy/fleet_harness.cpp
@@ -0,0 +1,595 @@
+#include "libpolicy/fleet_harness.h"
+
+#include "libbase/result.h"
+#include "libpolicy/configuration/document_record.h"
+#include "libwire/link_head.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace chivevane::test {
+
+namespace {
+
+constexpr std::uint16_t upstream_port = 9000;
+constexpr std::size_t body_size = 4000;
+constexpr std::size_t chunk_size = 1000;
+
+constexpr std::string_view fleet_document = R"(document: blackmorass
+organisations: []
+services:
+  - {name: permits, floor: 0.5}
+routes:
+  - {name: notes, path_prefix: /notes, service: permits, timeout_ms: 2000, open_to_all: true}
+  - {name: permits, path_prefix: /, service: permits, timeout_ms: 2000, open_to_all: true}
+)";
+
+std::string id_of(const request_head& head)
+{
+    return std::string{find_field(head.m_fields, "X-Test-Id").value_or("?")};
+}
+
+/// The model's ordinary answer, with ranges as in RFC 9110 section 14.
+upstream_answer ordinary_answer(const request_head& head)
+{
+    upstream_answer answer;
+    answer.m_body = fleet::body_for(id_of(head), head.m_target);
+    const auto etag = fmt::format("\"{}\"", head.m_target);
+    answer.m_head = {200, {{"ETag", etag}}};
+    const auto range = find_field(head.m_fields, "Range");
+    if (range && find_field(head.m_fields, "If-Range") == etag) {
+        const auto first = std::stoul(std::string{range->substr(6)});
+        const auto total = answer.m_body.size();
+        answer.m_head.m_status = 206;
+        answer.m_head.m_fields.push_back(
+            {"Content-Range", fmt::format("bytes {}-{}/{}", first, total - 1, total)});
+        answer.m_body.erase(0, first);
+    }
+    answer.m_head.m_fields.push_back({"Content-Length", std::to_string(answer.m_body.size())});
+    answer.m_head.m_fields.push_back(
+        {"X-Request-Id", std::string{find_field(head.m_fields, "X-Request-Id").value_or("")}});
+    return answer;
+}
+
+} // namespace
+
+/// One TCP connection with one request on it.
+struct fleet::connection {
+    std::size_t m_client = 0;
+    std::uint64_t m_client_generation = 0;
+    transfer_id m_transfer = 0;
+    std::size_t m_server = 0; ///< Of the gate or upstream.
+    std::uint64_t m_server_generation = 0;
+    exchange_id m_exchange = 0; ///< At the gate; 0 for an upstream.
+    bool m_is_open = true;      ///< As the client sees it.
+    bool m_is_silent = false;   ///< Nothing passes any more, and nobody is told.
+    int m_messages_left = -1;   ///< Messages until it breaks or goes silent; -1: never.
+    bool m_breaks = false;
+    bool m_is_crossed = false; ///< Its answer is that of another request.
+    instant m_last_arrival;
+};
+
+/// The client's side of a connection.
+struct fleet::outbound {
+    std::shared_ptr<connection> m_link;
+    std::string m_buffer;
+    std::uint64_t m_relayed = 0;
+    std::optional<transfer_end> m_end;
+    std::optional<exchange_id> m_relayed_to;
+};
+
+/// One run of a host's process and of its upstream.
+struct fleet::host_process {
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_upstream_run = 1;
+    instant m_upstream_back_at; ///< Down until then.
+    instant m_alarm = instant::max();
+    std::map<transfer_id, outbound> m_transfers;
+    std::map<exchange_id, std::shared_ptr<connection>> m_exchanges;
+    std::map<exchange_id, std::size_t> m_caller_exchanges;
+};
+
+bool caller_record::is_refusal(std::string_view outcome) const
+{
+    return m_status >= 400 &&
+           m_body.find(fmt::format("\"outcome\":\"{}\"", outcome)) != std::string::npos;
+}
+
+decider make_decider(host_settings settings, effect_list& start_effects, instant now)
+{
+    auto started = start_node(std::move(settings), now, 0);
+    start_effects = std::move(started.m_effects);
+    auto node = std::make_shared<node_state>(std::move(started.m_state));
+    return {[node](const event& occurrence) { return reduce(*node, occurrence); },
+            [node] { return next_wakeup(*node); }, node};
+}
+
+fleet::fleet(std::uint64_t seed, fault_plan faults, std::size_t hosts, decider_factory factory)
+    : m_crashes(hosts),
+      m_deciders(hosts),
+      m_random(seed),
+      m_factory(std::move(factory)),
+      m_processes(hosts)
+{
+    for (std::size_t host = 0; host < hosts; ++host) {
+        boot(host);
+    }
+    run_for(2s);
+    m_faults = faults;
+}
+
+fleet::~fleet() = default;
+
+void fleet::run_for(duration length)
+{
+    const auto end = m_now + length;
+    while (!m_queue.empty() && m_queue.begin()->first <= end) {
+        auto next = m_queue.extract(m_queue.begin());
+        m_now = next.key();
+        next.mapped()();
+    }
+    m_now = end;
+}
+
+std::size_t fleet::call(std::size_t host, std::string method, std::string target,
+                        std::vector<http_field> fields)
+{
+    const auto place = m_callers.size();
+    caller_record record;
+    record.m_id = fmt::format("r{}", place);
+    record.m_host = host;
+    record.m_sent_at = m_now;
+    fields.push_back({"Host", "a"});
+    fields.push_back({"X-Test-Id", record.m_id});
+    record.m_head = {std::move(method), std::move(target), std::move(fields)};
+    m_callers.push_back(record);
+    const auto exchange = ++m_last_exchange;
+    m_processes[host].m_caller_exchanges[exchange] = place;
+    const auto body_hash = record.m_head.m_method == "POST" ? place + 1 : 0;
+    feed(host, inbound_request{exchange, listener_kind::caller, record.m_head, 0, body_hash});
+    return place;
+}
+
+void fleet::restart(std::size_t host)
+{
+    break_connections(host);
+    boot(host);
+}
+
+void fleet::feed(std::size_t host, event_body body)
+{
+    const auto wall_ms = to_milliseconds(m_now.time_since_epoch());
+    perform_effects(host, m_deciders[host].m_reduce({m_now, wall_ms, std::move(body)}));
+    set_alarm(host);
+}
+
+std::size_t fleet::runs_of(const std::string& id) const
+{
+    const auto found = m_runs.find(id);
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+std::string fleet::body_for(const std::string& id, std::string_view target)
+{
+    std::string body = fmt::format("{} {} ", id, target);
+    while (body.size() < body_size) {
+        body += fmt::format("{},", body.size());
+    }
+    return body;
+}
+
+void fleet::schedule(duration delay, std::function<void()> action)
+{
+    m_queue.emplace(m_now + delay, std::move(action));
+}
+
+bool fleet::happens(double share)
+{
+    return share > 0 && uniform_fraction(m_random) < share;
+}
+
+duration fleet::delay()
+{
+    const auto longest = happens(m_faults.m_slow) ? m_faults.m_long_delay : duration{1ms};
+    return from_seconds(to_seconds(longest) * uniform_fraction(m_random)) + 10us;
+}
+
+void fleet::boot(std::size_t host)
+{
+    auto& process = m_processes[host];
+    ++process.m_generation;
+    process.m_alarm = instant::max();
+    process.m_transfers.clear();
+    process.m_exchanges.clear();
+    host_settings settings;
+    settings.m_self = {fmt::format("host-{}", host), process.m_generation};
+    settings.m_datacentre = "marsh";
+    settings.m_shared_secret = "secret";
+    settings.m_random_seed = m_random();
+    for (std::size_t each = 0; each < m_processes.size(); ++each) {
+        settings.m_seeds.push_back({fmt::format("127.0.1.{}", each), 7001, 7002, 7003, 7004});
+    }
+    settings.m_address = settings.m_seeds[host];
+    effect_list effects;
+    m_deciders[host] = m_factory(std::move(settings), effects, m_now);
+    perform_effects(host, effects);
+    feed(host, timer_fired{});
+    const stored_document stored{"blackmorass", 1, "edit-1", std::string{fleet_document}};
+    const store_entry entry{"/chivevane/documents/blackmorass", encode_document_record(stored), 1};
+    feed(host, store_response{1, store_purpose::document_read, store_entries{1, {entry}}});
+    announce(host);
+}
+
+/// Announces the upstream of a host every second while its process and the upstream run.
+void fleet::announce(std::size_t host)
+{
+    const auto generation = m_processes[host].m_generation;
+    if (m_now >= m_processes[host].m_upstream_back_at) {
+        upstream_announced news;
+        news.m_endpoint = "permits-1";
+        news.m_service = "permits";
+        news.m_ip = fmt::format("127.0.1.{}", host);
+        news.m_port = upstream_port;
+        news.m_slots = 4;
+        news.m_warmth = upstream_warmth::warm;
+        news.m_run = m_processes[host].m_upstream_run;
+        feed(host, std::move(news));
+    }
+    schedule(1s, [this, host, generation] {
+        if (m_processes[host].m_generation == generation) {
+            announce(host);
+        }
+    });
+}
+
+void fleet::set_alarm(std::size_t host)
+{
+    auto& process = m_processes[host];
+    const auto due = std::max(m_deciders[host].m_next_wakeup(), m_now + 100us);
+    if (due >= process.m_alarm || due == instant::max()) {
+        return;
+    }
+    process.m_alarm = due;
+    m_queue.emplace(due, [this, host, due, generation = process.m_generation] {
+        auto& current = m_processes[host];
+        if (current.m_generation == generation && current.m_alarm == due) {
+            current.m_alarm = instant::max();
+            feed(host, timer_fired{});
+        }
+    });
+}
+
+void fleet::perform_effects(std::size_t host, const effect_list& effects)
+{
+    for (const auto& item : effects) {
+        if (m_observer) {
+            m_observer(host, item);
+        }
+        perform(host, item);
+    }
+}
+
+void fleet::perform(std::size_t host, const effect& item)
+{
+    auto& process = m_processes[host];
+    if (const auto* order = std::get_if<start_transfer>(&item)) {
+        connect(host, *order);
+    }
+    else if (const auto* cancelled = std::get_if<cancel_transfer>(&item)) {
+        if (auto found = process.m_transfers.extract(cancelled->m_transfer)) {
+            const auto link = found.mapped().m_link;
+            link->m_is_open = false;
+            schedule(delay(), [this, link] {
+                auto& server = m_processes[link->m_server];
+                const bool is_there = server.m_generation == link->m_server_generation;
+                if (!link->m_is_silent && is_there && server.m_exchanges.erase(link->m_exchange)) {
+                    feed(link->m_server, inbound_gone{link->m_exchange});
+                }
+            });
+        }
+    }
+    else if (const auto* relay = std::get_if<relay_transfer>(&item)) {
+        if (relay->m_head) {
+            write_head(host, relay->m_exchange, *relay->m_head);
+        }
+        process.m_transfers.at(relay->m_transfer).m_relayed_to = relay->m_exchange;
+        schedule(0us, [this, host, transfer = relay->m_transfer] { pump(host, transfer); });
+    }
+    else if (const auto* answer = std::get_if<respond>(&item)) {
+        write_head(host, answer->m_exchange, answer->m_head);
+        write(host, answer->m_exchange, answer->m_body);
+        close_exchange(host, answer->m_exchange, transfer_end::complete);
+    }
+    else if (const auto* finished = std::get_if<finish_exchange>(&item)) {
+        close_exchange(host, finished->m_exchange, transfer_end::complete);
+    }
+    else if (const auto* aborted = std::get_if<abort_exchange>(&item)) {
+        close_exchange(host, aborted->m_exchange, transfer_end::truncated);
+    }
+    else if (const auto* packet = std::get_if<send_datagram>(&item)) {
+        const auto to = host_of(packet->m_to.m_ip);
+        const host_identity sender{fmt::format("host-{}", host), process.m_generation};
+        const auto deliver = [this, to,
+                              received = datagram_received{sender, 0, {}, packet->m_message}] {
+            feed(to, received);
+        };
+        if (!happens(m_faults.m_datagram_loss)) {
+            schedule(delay(), deliver);
+        }
+        if (happens(m_faults.m_doubled)) {
+            schedule(from_seconds(to_seconds(m_faults.m_late_copy) * uniform_fraction(m_random)),
+                     deliver);
+        }
+    }
+}
+
+void fleet::connect(std::size_t host, const start_transfer& order)
+{
+    auto link = std::make_shared<connection>();
+    link->m_client = host;
+    link->m_client_generation = m_processes[host].m_generation;
+    link->m_transfer = order.m_transfer;
+    link->m_server = host_of(order.m_ip);
+    link->m_server_generation = m_processes[link->m_server].m_generation;
+    link->m_last_arrival = m_now;
+    m_processes[host].m_transfers[order.m_transfer].m_link = link;
+    const bool is_for_upstream = order.m_port == upstream_port;
+    const bool is_down = is_for_upstream && m_now < m_processes[link->m_server].m_upstream_back_at;
+    if (is_down || happens(m_faults.m_refused)) {
+        schedule(delay(), [this, link] { client_end(link, transfer_end::connect_failed); });
+        return;
+    }
+    const bool breaks = happens(m_faults.m_broken);
+    if (breaks || happens(m_faults.m_silent)) {
+        link->m_messages_left = static_cast<int>(m_random(6));
+        link->m_breaks = breaks;
+        if (link->m_messages_left == 0) {
+            link->m_is_silent = true;
+            if (breaks) {
+                schedule(delay(), [this, link] { client_end(link, transfer_end::broken); });
+            }
+            if (m_random(2) == 0) {
+                return; // The request itself is lost.
+            }
+        }
+    }
+    // Bodies are not modelled; their hash is what a POST's identity makes it.
+    const auto id = id_of(order.m_head);
+    const auto hash = order.m_head.m_method == "POST" ? std::stoul(id.substr(1)) + 1 : 0;
+    const auto arrive = [this, link, head = order.m_head, hash, is_for_upstream] {
+        if (is_for_upstream) {
+            arrive_at_upstream(link, head);
+        }
+        else {
+            arrive_at_gate(link, head, hash);
+        }
+    };
+    schedule(delay(), arrive);
+    if (!is_for_upstream && happens(m_faults.m_doubled)) {
+        auto copy = std::make_shared<connection>(*link);
+        copy->m_is_open = false; // Its answer reaches nobody.
+        schedule(from_seconds(to_seconds(m_faults.m_late_copy) * uniform_fraction(m_random)),
+                 [this, copy, head = order.m_head, hash] { arrive_at_gate(copy, head, hash); });
+    }
+}
+
+void fleet::arrive_at_gate(const std::shared_ptr<connection>& link, const request_head& head,
+                           std::uint64_t body_hash)
+{
+    auto& server = m_processes[link->m_server];
+    link->m_server_generation = server.m_generation; // Late copies may reach a later run.
+    const auto exchange = ++m_last_exchange;
+    link->m_exchange = exchange;
+    const bool client_is_there = link->m_is_open;
+    server.m_exchanges[exchange] = link;
+    feed(link->m_server, inbound_request{exchange, listener_kind::gate, head, 0, body_hash});
+    if (!client_is_there && !link->m_is_silent) {
+        schedule(delay(), [this, link, exchange] {
+            auto& current = m_processes[link->m_server];
+            if (current.m_generation == link->m_server_generation &&
+                current.m_exchanges.erase(exchange) > 0) {
+                feed(link->m_server, inbound_gone{exchange});
+            }
+        });
+    }
+}
+
+void fleet::arrive_at_upstream(const std::shared_ptr<connection>& link, const request_head& head)
+{
+    const auto host = link->m_server;
+    if (m_now < m_processes[host].m_upstream_back_at) {
+        client_end(link, transfer_end::broken);
+        return;
+    }
+    const auto id = id_of(head);
+    ++m_runs[id];
+    ++m_upstream_requests;
+    auto answer = ordinary_answer(head);
+    if (happens(m_faults.m_crossed) && !m_last_answer_id.empty()) {
+        answer.m_head.m_fields.back().m_value = "another/1/1/1";
+        answer.m_body = body_for(m_last_answer_id, head.m_target).substr(0, answer.m_body.size());
+    }
+    m_last_answer_id = id;
+    if (m_behaviour) {
+        answer = m_behaviour(host, head, std::move(answer));
+    }
+    const auto run = m_processes[host].m_upstream_run;
+    if (answer.m_crashes) {
+        schedule(answer.m_latency, [this, host, run, link] {
+            auto& process = m_processes[host];
+            if (process.m_upstream_run == run) {
+                ++process.m_upstream_run;
+                ++m_crashes[host];
+                process.m_upstream_back_at = m_now + 1s;
+            }
+            client_end(link, transfer_end::broken);
+        });
+        return;
+    }
+    schedule(answer.m_latency, [this, host, run, link, answer] {
+        if (m_processes[host].m_upstream_run != run) {
+            client_end(link, transfer_end::broken); // The upstream crashed meanwhile.
+            return;
+        }
+        send_to_client(link, [this, link, answer] { client_head(link, answer.m_head); });
+        for (std::size_t place = 0; place < answer.m_body.size(); place += chunk_size) {
+            send_to_client(link, [this, link, bytes = answer.m_body.substr(place, chunk_size)] {
+                client_bytes(link, bytes);
+            });
+        }
+        send_to_client(link, [this, link] { client_end(link, transfer_end::complete); });
+    });
+}
+
+/// Lets a message travel to the client, in order, unless the connection fails before.
+void fleet::send_to_client(const std::shared_ptr<connection>& link, std::function<void()> action)
+{
+    if (link->m_is_silent) {
+        return;
+    }
+    link->m_last_arrival = std::max(link->m_last_arrival, m_now + delay());
+    if (link->m_messages_left > 0 && --link->m_messages_left == 0) {
+        link->m_is_silent = true;
+        const auto end = link->m_breaks ? transfer_end::broken : transfer_end::stalled;
+        const auto wait = link->m_breaks ? 0s : 10s;
+        m_queue.emplace(link->m_last_arrival + wait, [this, link, end] { client_end(link, end); });
+        return;
+    }
+    m_queue.emplace(link->m_last_arrival, std::move(action));
+}
+
+void fleet::client_head(const std::shared_ptr<connection>& link, const response_head& head)
+{
+    if (link->m_is_open && m_processes[link->m_client].m_transfers.contains(link->m_transfer)) {
+        feed(link->m_client, transfer_head{link->m_transfer, head});
+    }
+}
+
+void fleet::client_bytes(const std::shared_ptr<connection>& link, const std::string& bytes)
+{
+    auto& transfers = m_processes[link->m_client].m_transfers;
+    if (const auto found = transfers.find(link->m_transfer);
+        link->m_is_open && found != transfers.end()) {
+        found->second.m_buffer += link->m_is_crossed ? std::string(bytes.size(), '?') : bytes;
+        pump(link->m_client, link->m_transfer);
+    }
+}
+
+void fleet::client_end(const std::shared_ptr<connection>& link, transfer_end end)
+{
+    auto& process = m_processes[link->m_client];
+    if (!link->m_is_open || process.m_generation != link->m_client_generation) {
+        return;
+    }
+    link->m_is_open = false;
+    if (const auto found = process.m_transfers.find(link->m_transfer);
+        found != process.m_transfers.end()) {
+        found->second.m_end = end;
+        pump(link->m_client, link->m_transfer);
+    }
+    auto& server = m_processes[link->m_server];
+    if (end != transfer_end::complete && server.m_generation == link->m_server_generation &&
+        server.m_exchanges.erase(link->m_exchange) > 0) {
+        feed(link->m_server, inbound_gone{link->m_exchange});
+    }
+}
+
+/// Writes on what was received for a relayed transfer, then reports its end.
+void fleet::pump(std::size_t host, transfer_id transfer)
+{
+    auto& transfers = m_processes[host].m_transfers;
+    const auto found = transfers.find(transfer);
+    if (found == transfers.end()) {
+        return;
+    }
+    auto& outgoing = found->second;
+    if (outgoing.m_relayed_to) {
+        const auto bytes = std::exchange(outgoing.m_buffer, {});
+        outgoing.m_relayed += bytes.size();
+        write(host, *outgoing.m_relayed_to, bytes);
+    }
+    else if (outgoing.m_end == transfer_end::complete) {
+        return; // The body waits until it is relayed or cancelled.
+    }
+    if (outgoing.m_end) {
+        const transfer_ended end{transfer, *outgoing.m_end, outgoing.m_relayed, {}};
+        transfers.erase(found);
+        feed(host, end);
+    }
+}
+
+void fleet::write_head(std::size_t host, exchange_id exchange, const response_head& head)
+{
+    auto& process = m_processes[host];
+    if (const auto caller = process.m_caller_exchanges.find(exchange);
+        caller != process.m_caller_exchanges.end()) {
+        m_callers[caller->second].m_status = head.m_status;
+    }
+    else if (const auto link = process.m_exchanges.find(exchange);
+             link != process.m_exchanges.end()) {
+        auto sent = head;
+        link->second->m_is_crossed = happens(m_faults.m_crossed);
+        for (auto& field : sent.m_fields) {
+            if (link->second->m_is_crossed && field.m_name == attempt_field) {
+                field.m_value = "another/1/1/1";
+            }
+        }
+        send_to_client(link->second, [this, to = link->second, sent] { client_head(to, sent); });
+    }
+}
+
+void fleet::write(std::size_t host, exchange_id exchange, const std::string& bytes)
+{
+    auto& process = m_processes[host];
+    if (const auto caller = process.m_caller_exchanges.find(exchange);
+        caller != process.m_caller_exchanges.end()) {
+        m_callers[caller->second].m_body += bytes;
+    }
+    else if (const auto link = process.m_exchanges.find(exchange);
+             link != process.m_exchanges.end() && !bytes.empty()) {
+        send_to_client(link->second, [this, to = link->second, bytes] { client_bytes(to, bytes); });
+    }
+}
+
+void fleet::close_exchange(std::size_t host, exchange_id exchange, transfer_end end)
+{
+    auto& process = m_processes[host];
+    if (auto caller = process.m_caller_exchanges.extract(exchange)) {
+        auto& record = m_callers[caller.mapped()];
+        record.m_end =
+            end == transfer_end::complete ? caller_record::end::whole : caller_record::end::cut;
+        record.m_ended_at = m_now;
+    }
+    else if (auto link = process.m_exchanges.extract(exchange)) {
+        send_to_client(link.mapped(), [this, to = link.mapped(), end] { client_end(to, end); });
+    }
+}
+
+/// Breaks all that a host's process held open.
+void fleet::break_connections(std::size_t host)
+{
+    auto& process = m_processes[host];
+    for (const auto& [exchange, place] : std::exchange(process.m_caller_exchanges, {})) {
+        m_callers[place].m_end = caller_record::end::cut;
+        m_callers[place].m_ended_at = m_now;
+    }
+    for (const auto& [exchange, link] : std::exchange(process.m_exchanges, {})) {
+        schedule(delay(), [this, to = link] { client_end(to, transfer_end::broken); });
+    }
+    for (const auto& [transfer, outgoing] : std::exchange(process.m_transfers, {})) {
+        const auto link = outgoing.m_link;
+        link->m_is_open = false;
+        auto& server = m_processes[link->m_server];
+        if (server.m_generation == link->m_server_generation &&
+            server.m_exchanges.erase(link->m_exchange) > 0 && link->m_server != host) {
+            feed(link->m_server, inbound_gone{link->m_exchange});
+        }
+    }
+}
+
+std::size_t fleet::host_of(const std::string& ip) const
+{
+    return std::stoul(ip.substr(ip.rfind('.') + 1));
+}
+
+} // namespace chivevane::test
