libpolicy: Hold one rate over all hosts with lent shares and loans

A local bucket of 1/n of the limit refuses nearly all requests of an organisation whose demand comes in at one host, and counts every host that was ever heard of.

Each host holds units of every organisation's rate and burst by a roster in the store. Hosts lend their units by slot to the slot's broker (rendezvous hash) under leases of 1 s; the broker keeps one bucket for each organisation in use and lends tokens where requests arrive. A lent token keeps its room until it is reported spent, given back, or has run out. An operator's word hands the units of a dead host on after its last lease has ended; the property test found that without this wait a broker still used them.

--- a/libraries/libpolicy/limits/limits.cpp
+++ b/libraries/libpolicy/limits/limits.cpp
@@ -1,69 +1,132 @@
 #include "libpolicy/limits/limits.h"
 
+#include "libpolicy/limits/borrowing.h"
+#include "libpolicy/limits/loan_book.h"
+#include "libpolicy/limits/roster.h"
+#include "libpolicy/limits/share_leases.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace chivevane::limits {
 
 namespace {
 
-/// Hosts that share the limit: all that were ever heard of, since the dead may still spend.
-double count_sharers(const membership_state& members)
+constexpr duration sweep_interval = 10s; // Idle organisations must not fill the memory.
+constexpr std::uint32_t failures_until_away = 2;
+
+void sweep(limits_state& state, context& surroundings)
 {
-    return static_cast<double>(std::max<std::size_t>(1, members.m_members.size()));
+    if (surroundings.m_now < state.m_next_sweep) {
+        return;
+    }
+    state.m_next_sweep = surroundings.m_now + sweep_interval;
+    forget_idle_accounts(state, surroundings);
+    for (std::size_t slot = 0; slot < slot_count; ++slot) {
+        forget_full_buckets(usable_pool(state, surroundings, slot), surroundings.m_now);
+    }
 }
 
 } // namespace
 
-void start(limits_state&, context&) {}
+void start(limits_state& state, context& surroundings)
+{
+    state.m_leases.m_next_round = surroundings.m_now;
+    state.m_next_sweep = surroundings.m_now + sweep_interval;
+    start_roster(state, surroundings);
+}
 
 verdict take_token(limits_state& state, context& surroundings, const membership_state& members,
-                   std::string_view organisation, const rate_limit& limit, std::uint64_t)
+                   std::string_view organisation, const rate_limit& limit, std::uint64_t ticket)
 {
-    const double sharers = count_sharers(members);
-    auto found = state.m_buckets.find(organisation);
-    if (found == state.m_buckets.end()) {
-        const local_bucket full{limit, limit.m_burst / sharers, surroundings.m_now};
-        found = state.m_buckets.emplace(organisation, full).first;
-    }
-    auto& bucket = found->second;
-    const double earned =
-        to_seconds(surroundings.m_now - bucket.m_filled_at) * limit.m_rate / sharers;
-    bucket.m_tokens = std::min(limit.m_burst / sharers, bucket.m_tokens + earned);
-    bucket.m_filled_at = surroundings.m_now;
-    bucket.m_limit = limit;
-    if (bucket.m_tokens >= 1) {
-        bucket.m_tokens -= 1;
-        return granted{};
-    }
-    return refused{from_seconds((1 - bucket.m_tokens) * sharers / std::max(limit.m_rate, 0.001))};
+    expire_loans(state, surroundings);
+    run_lease_round(state, surroundings, members);
+    return take_or_borrow(state, surroundings, members, organisation, limit, ticket);
 }
 
-void withdraw_ticket(limits_state&, std::uint64_t) {}
+void withdraw_ticket(limits_state& state, std::uint64_t ticket)
+{
+    forget_ticket(state, ticket);
+}
 
-std::vector<settled_ticket> take_settled(limits_state&)
+std::vector<settled_ticket> take_settled(limits_state& state)
 {
-    return {};
+    return std::exchange(state.m_borrowing.m_settled, {});
 }
 
-void on_loan_request(limits_state&, context&, const membership_state&, const host_identity&,
-                     const loan_request&)
+void on_loan_request(limits_state& state, context& surroundings, const membership_state& members,
+                     const host_identity& sender, const loan_request& request)
 {
+    expire_loans(state, surroundings);
+    answer_loan_request(state, surroundings, members, sender, request);
 }
 
-void on_loan_response(limits_state&, context&, const membership_state&, const host_identity&,
-                      const loan_response&)
+void on_loan_response(limits_state& state, context& surroundings, const membership_state& members,
+                      const host_identity& sender, const loan_response& response)
 {
+    take_loan(state, surroundings, members, sender, response);
 }
 
-void on_store_response(limits_state&, context&, std::uint64_t, const store_outcome&) {}
+void on_loan_report(limits_state& state, context& surroundings, const host_identity& sender,
+                    const loan_report& report)
+{
+    apply_loan_report(state, surroundings, sender, report);
+}
 
-void on_timer(limits_state&, context&, const membership_state&) {}
+void on_share_request(limits_state& state, context& surroundings, const membership_state& members,
+                      const host_identity& sender, const share_request& request)
+{
+    hint_roster_version(state, surroundings, request.m_roster_version);
+    answer_share_request(state, surroundings, members, sender, request);
+}
 
-void leave(limits_state&, context&) {}
+void on_share_response(limits_state& state, context& surroundings, const host_identity& sender,
+                       const share_response& response)
+{
+    hint_roster_version(state, surroundings, response.m_roster_version);
+    take_shares(state, surroundings, sender, response);
+}
+
+void on_store_response(limits_state& state, context& surroundings, std::uint64_t operation_id,
+                       const store_outcome& outcome)
+{
+    on_roster_answer(state, surroundings, operation_id, outcome);
+}
+
+void on_timer(limits_state& state, context& surroundings, const membership_state& members)
+{
+    expire_loans(state, surroundings);
+    run_lease_round(state, surroundings, members);
+    check_loans(state, surroundings, members);
+    report_loans(state, surroundings, members);
+    run_roster(state, surroundings, members);
+    sweep(state, surroundings);
+}
+
+void leave(limits_state& state, context& surroundings)
+{
+    leave_roster(state, surroundings);
+}
+
+bool has_left(const limits_state& state)
+{
+    const auto& roster = state.m_roster;
+    return roster.m_phase == roster_phase::left || roster.m_failures >= failures_until_away;
+}
+
+void declare_dead(limits_state& state, context& surroundings, std::string_view name)
+{
+    declare_holder_dead(state, surroundings, name);
+}
 
-instant next_wakeup(const limits_state&)
+instant next_wakeup(const limits_state& state)
 {
-    return instant::max();
+    const auto& borrowing = state.m_borrowing;
+    const auto& expiries = state.m_loan_book.m_expiries;
+    const auto loan_end = expiries.empty() ? instant::max() : expiries.front().m_at;
+    const auto roster_call = state.m_roster.m_call ? instant::max() : state.m_roster.m_next_call;
+    return std::min({state.m_leases.m_next_round, borrowing.m_next_check, borrowing.m_next_report,
+                     loan_end, roster_call});
 }
 
 } // namespace chivevane::limits
--- a/libraries/libpolicy/limits/limits_state.h
+++ b/libraries/libpolicy/limits/limits_state.h
@@ -1,25 +1,24 @@
 #pragma once
 
 #include "libbase/instant.h"
-#include "libpolicy/limits/rate_limit.h"
+#include "libpolicy/limits/borrowing_state.h"
+#include "libpolicy/limits/loan_book_state.h"
+#include "libpolicy/limits/roster_state.h"
+#include "libpolicy/limits/share_lease_state.h"
+#include "libpolicy/limits/slot_pool.h"
 
-#include <functional>
-#include <map>
-#include <string>
-#include <unordered_map>
+#include <vector>
 
 namespace chivevane {
 
-/// The tokens of one organisation on this host.
-struct local_bucket {
-    rate_limit m_limit; ///< Of the organisation over all hosts.
-    double m_tokens = 0;
-    instant m_filled_at;
-};
-
 /// The limits of all organisations on this host.
 struct limits_state {
-    std::map<std::string, local_bucket, std::less<>> m_buckets; ///< By organisation key.
+    std::vector<slot_pool> m_pools{slot_count}; ///< What this host may use, by slot.
+    roster_state m_roster;
+    share_lease_state m_leases;
+    loan_book_state m_loan_book;
+    borrowing_state m_borrowing;
+    instant m_next_sweep;
 };
 
 } // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/limits/roster.cpp
@@ -0,0 +1,326 @@
+#include "libpolicy/limits/roster.h"
+
+#include "libbase/rendezvous.h"
+#include "libpolicy/limits/share_leases.h"
+#include "libpolicy/membership/membership.h"
+
+#include <algorithm>
+
+namespace chivevane::limits {
+
+namespace {
+
+constexpr duration call_spread = 500ms;    // Hosts that learn the same news call apart.
+constexpr duration first_backoff = 1s;     // Doubles with each failure.
+constexpr std::uint32_t max_doublings = 5; // 32 s between calls while the store is away.
+constexpr duration untouched_past = 24h;   // Longer than any bucket takes to fill.
+
+/// A holder keeps at most this many fair shares, so that one death does not cost much.
+constexpr double tolerated_imbalance = 1.5;
+
+duration spread(context& surroundings, duration longest)
+{
+    return from_seconds(to_seconds(longest) * uniform_fraction(surroundings.m_random));
+}
+
+void call_at(roster_state& roster, instant at)
+{
+    roster.m_next_call = std::min(roster.m_next_call, at);
+}
+
+std::uint32_t listed_units(const roster_state& roster, const host_identity& self)
+{
+    const auto* const entry = find_entry(roster.m_record, self);
+    return entry == nullptr ? 0 : entry->m_units;
+}
+
+/// From when on nobody can use the units that this host stops lending now.
+instant end_of_lending(const limits_state& state, context& surroundings)
+{
+    auto end = surroundings.m_now;
+    for (const auto& lent : state.m_leases.m_lent) {
+        end = lent ? std::max(end, lent->m_until) : end;
+    }
+    const auto& expiries = state.m_loan_book.m_expiries;
+    return expiries.empty() ? end : std::max(end, expiries.back().m_at);
+}
+
+/// Stops the use of all but `units`; the rest can be handed on once nobody uses it.
+void keep_only(limits_state& state, context& surroundings, std::uint32_t units)
+{
+    auto& roster = state.m_roster;
+    roster.m_kept_units = units;
+    if (units < roster.m_units) {
+        roster.m_surplus_free_at = end_of_lending(state, surroundings);
+        resize_own_share(state, surroundings, units, surroundings.m_now);
+    }
+    call_at(roster, std::max(surroundings.m_now, roster.m_surplus_free_at));
+}
+
+bool is_surplus_free(const roster_state& roster, instant now)
+{
+    return now >= roster.m_surplus_free_at;
+}
+
+/// Uses what the record gives this host, within what it wants to keep.
+void use_listed_units(limits_state& state, context& surroundings, instant since)
+{
+    auto& roster = state.m_roster;
+    const auto listed = listed_units(roster, surroundings.m_settings.m_self);
+    auto usable = std::min(listed, roster.m_kept_units);
+    if (roster.m_unsettled_version) {
+        usable = std::min(usable, roster.m_units);
+    }
+    if (usable != roster.m_units) {
+        resize_own_share(state, surroundings, usable, since);
+    }
+}
+
+/// An even share of the roster.
+std::uint32_t fair_units(const roster_state& roster)
+{
+    const auto holders = std::max<std::size_t>(1, roster.m_record.m_entries.size());
+    return static_cast<std::uint32_t>(total_units / holders);
+}
+
+bool is_too_much(const roster_state& roster, std::uint32_t units)
+{
+    return units > tolerated_imbalance * fair_units(roster) + 1;
+}
+
+void shed_surplus(limits_state& state, context& surroundings)
+{
+    auto& roster = state.m_roster;
+    if (roster.m_kept_units == total_units && is_too_much(roster, roster.m_units)) {
+        keep_only(state, surroundings, fair_units(roster));
+    }
+}
+
+void forget_removed(roster_state& roster)
+{
+    std::erase_if(roster.m_declared_dead, [&](const auto& declared) {
+        return find_entry(roster.m_record, declared.first) == nullptr;
+    });
+}
+
+/// Takes a newer record in use. Older ones come from answers that were overtaken.
+void adopt(limits_state& state, context& surroundings, roster_record record, std::uint64_t version,
+           instant since)
+{
+    auto& roster = state.m_roster;
+    if (version <= roster.m_version) {
+        return;
+    }
+    roster.m_record = std::move(record);
+    roster.m_version = version;
+    roster.m_hinted_version = std::max(roster.m_hinted_version, version);
+    if (roster.m_unsettled_version && version > *roster.m_unsettled_version) {
+        roster.m_unsettled_version.reset(); // A write that expected an older version has lost.
+    }
+    const auto listed = listed_units(roster, surroundings.m_settings.m_self);
+    if (roster.m_phase == roster_phase::member && !is_too_much(roster, listed)) {
+        roster.m_kept_units = total_units;
+    }
+    if (roster.m_phase == roster_phase::leaving && listed == 0) {
+        roster.m_phase = roster_phase::left;
+    }
+    forget_removed(roster);
+    use_listed_units(state, surroundings, since);
+    shed_surplus(state, surroundings);
+    call_at(roster, surroundings.m_now + spread(surroundings, call_spread));
+}
+
+void adopt_entry(limits_state& state, context& surroundings, const store_entry& entry)
+{
+    auto decoded = decode_roster(entry.m_value);
+    if (is_error(decoded)) {
+        emit(surroundings, record_event{"roster-malformed",
+                                        {{"reason", describe(error_of(decoded))}},
+                                        record_target::timeline_and_log});
+        return;
+    }
+    adopt(state, surroundings, value_of(std::move(decoded)), entry.m_version, surroundings.m_now);
+}
+
+bool is_caretaker(context& surroundings, const membership_state& members)
+{
+    std::vector<std::string> hosts;
+    for (const auto& [name, peer] : members.m_members) {
+        if (membership::is_usable(peer)) {
+            hosts.push_back(name);
+        }
+    }
+    return rendezvous_owner("roster", hosts) == surroundings.m_settings.m_self.m_name;
+}
+
+bool is_alive(const membership_state& members, const host_identity& host)
+{
+    const auto* const peer = membership::find_member(members, host.m_name);
+    return peer != nullptr && membership::is_usable(*peer) && peer->m_latest.m_identity == host;
+}
+
+void remove_declared(roster_state& roster, instant now, const membership_state& members,
+                     roster_record& record)
+{
+    for (const auto& entry : roster.m_record.m_entries) {
+        const auto declared = roster.m_declared_dead.find(entry.m_host);
+        if (declared == roster.m_declared_dead.end() || is_alive(members, entry.m_host)) {
+            continue;
+        }
+        if (now < declared->second) {
+            call_at(roster, declared->second);
+        }
+        else {
+            remove_entry(record, entry.m_host);
+        }
+    }
+}
+
+/// The record as this host would have it.
+roster_record plan_record(roster_state& roster, context& surroundings,
+                          const membership_state& members)
+{
+    const auto& self = surroundings.m_settings.m_self;
+    auto record = roster.m_record;
+    remove_declared(roster, surroundings.m_now, members, record);
+    if (roster.m_phase != roster_phase::member) {
+        if (is_surplus_free(roster, surroundings.m_now)) {
+            remove_entry(record, self);
+        }
+    }
+    else {
+        add_entry(record, self);
+        if (is_surplus_free(roster, surroundings.m_now)) {
+            release_units(record, self, roster.m_kept_units);
+        }
+    }
+    if (record != roster.m_record || is_caretaker(surroundings, members)) {
+        distribute_free_units(record);
+    }
+    return record;
+}
+
+void send_call(roster_state& roster, context& surroundings, roster_call call,
+               store_operation operation)
+{
+    call.m_operation = next_id(surroundings);
+    emit(surroundings, call_store{call.m_operation, store_purpose::roster, std::move(operation)});
+    roster.m_call = std::move(call);
+    roster.m_next_call = instant::max();
+}
+
+void read_roster(roster_state& roster, context& surroundings)
+{
+    send_call(roster, surroundings, {}, store_read{std::string{roster_key}});
+}
+
+void write_roster(roster_state& roster, context& surroundings, roster_record record)
+{
+    store_compare_and_swap write{std::string{roster_key}, roster.m_version, encode_roster(record)};
+    send_call(roster, surroundings,
+              {0, roster_call_kind::write, roster.m_version, std::move(record)}, std::move(write));
+}
+
+void on_failure(roster_state& roster, context& surroundings, const roster_call& call,
+                const store_failure& failure)
+{
+    if (call.m_kind == roster_call_kind::write && failure.m_kind == store_failure_kind::unknown) {
+        roster.m_unsettled_version = call.m_expected_version;
+    }
+    const auto backoff = first_backoff * (1 << std::min(roster.m_failures, max_doublings));
+    ++roster.m_failures;
+    call_at(roster, surroundings.m_now + backoff / 2 + spread(surroundings, backoff));
+    roster.m_must_read = true;
+}
+
+} // namespace
+
+void start_roster(limits_state& state, context& surroundings)
+{
+    read_roster(state.m_roster, surroundings);
+}
+
+void on_roster_answer(limits_state& state, context& surroundings, std::uint64_t operation_id,
+                      const store_outcome& outcome)
+{
+    auto& roster = state.m_roster;
+    if (!roster.m_call || roster.m_call->m_operation != operation_id) {
+        return;
+    }
+    const auto call = std::move(*roster.m_call);
+    roster.m_call.reset();
+    if (const auto* const failure = std::get_if<store_failure>(&outcome)) {
+        on_failure(roster, surroundings, call, *failure);
+        return;
+    }
+    roster.m_failures = 0;
+    roster.m_must_read = false;
+    if (const auto* const entries = std::get_if<store_entries>(&outcome)) {
+        for (const auto& entry : entries->m_entries) {
+            adopt_entry(state, surroundings, entry);
+        }
+        call_at(roster, surroundings.m_now);
+    }
+    else if (const auto* const conflict = std::get_if<store_conflict>(&outcome)) {
+        adopt_entry(state, surroundings, conflict->m_current);
+    }
+    else if (const auto* const written = std::get_if<store_written>(&outcome)) {
+        // Nobody held a share before the record was made: all buckets are full.
+        const auto since =
+            call.m_expected_version == 0 ? surroundings.m_now - untouched_past : surroundings.m_now;
+        adopt(state, surroundings, call.m_proposed, written->m_version, since);
+    }
+}
+
+void run_roster(limits_state& state, context& surroundings, const membership_state& members)
+{
+    auto& roster = state.m_roster;
+    if (roster.m_call || surroundings.m_now < roster.m_next_call) {
+        return;
+    }
+    roster.m_next_call = instant::max();
+    if (roster.m_must_read || roster.m_hinted_version > roster.m_version) {
+        read_roster(roster, surroundings);
+        return;
+    }
+    if (auto record = plan_record(roster, surroundings, members); record != roster.m_record) {
+        write_roster(roster, surroundings, std::move(record));
+    }
+    else if (!is_surplus_free(roster, surroundings.m_now)) {
+        call_at(roster, roster.m_surplus_free_at);
+    }
+}
+
+void hint_roster_version(limits_state& state, context& surroundings, std::uint64_t version)
+{
+    auto& roster = state.m_roster;
+    if (version > roster.m_hinted_version) {
+        roster.m_hinted_version = version;
+        wake_roster(state, surroundings);
+    }
+}
+
+void leave_roster(limits_state& state, context& surroundings)
+{
+    state.m_roster.m_phase = roster_phase::leaving;
+    keep_only(state, surroundings, 0);
+}
+
+void declare_holder_dead(limits_state& state, context& surroundings, std::string_view name)
+{
+    // What the host lent before it ended may be in use until the lease ends.
+    const auto last_lease_end = surroundings.m_now + with_margin(lease_duration);
+    for (const auto& entry : state.m_roster.m_record.m_entries) {
+        if (entry.m_host.m_name == name) {
+            state.m_roster.m_declared_dead.insert_or_assign(entry.m_host, last_lease_end);
+        }
+    }
+    call_at(state.m_roster, last_lease_end);
+}
+
+void wake_roster(limits_state& state, context& surroundings)
+{
+    call_at(state.m_roster, surroundings.m_now + spread(surroundings, call_spread));
+}
+
+} // namespace chivevane::limits
--- /dev/null
+++ b/libraries/libpolicy/limits/roster_record.cpp
@@ -0,0 +1,135 @@
+#include "libpolicy/limits/roster_record.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+namespace chivevane::limits {
+
+namespace {
+
+error malformed(std::string message)
+{
+    return {error_kind::malformed, std::move(message),
+            "Restore the roster in the store from a backup, or stop all hosts and delete it."};
+}
+
+std::uint64_t sum_of(const roster_record& record)
+{
+    return std::accumulate(
+        record.m_entries.begin(), record.m_entries.end(), std::uint64_t{record.m_free_units},
+        [](std::uint64_t sum, const roster_entry& entry) { return sum + entry.m_units; });
+}
+
+std::vector<roster_entry>::iterator locate(roster_record& record, const host_identity& host)
+{
+    return std::find_if(record.m_entries.begin(), record.m_entries.end(),
+                        [&](const auto& entry) { return entry.m_host == host; });
+}
+
+/// The highest level up to which `units` can lift the lowest entries.
+std::uint32_t common_level(const std::vector<roster_entry*>& poorest_first, std::uint32_t units)
+{
+    std::uint64_t sum = units;
+    std::uint64_t level = 0;
+    for (std::size_t count = 1; count <= poorest_first.size(); ++count) {
+        sum += poorest_first[count - 1]->m_units;
+        level = sum / count;
+        if (count < poorest_first.size() && level <= poorest_first[count]->m_units) {
+            break;
+        }
+    }
+    return static_cast<std::uint32_t>(level);
+}
+
+} // namespace
+
+std::string encode_roster(const roster_record& record)
+{
+    auto entries = nlohmann::json::array();
+    for (const auto& entry : record.m_entries) {
+        entries.push_back({{"host", entry.m_host.m_name},
+                           {"incarnation", entry.m_host.m_incarnation},
+                           {"units", entry.m_units}});
+    }
+    return nlohmann::json{{"free", record.m_free_units}, {"entries", entries}}.dump();
+}
+
+result<roster_record> decode_roster(std::string_view text)
+{
+    roster_record record;
+    try {
+        const auto json = nlohmann::json::parse(text);
+        record.m_free_units = json.at("free").get<std::uint32_t>();
+        for (const auto& item : json.at("entries")) {
+            record.m_entries.push_back(
+                {{item.at("host").get<std::string>(), item.at("incarnation").get<std::uint64_t>()},
+                 item.at("units").get<std::uint32_t>()});
+        }
+    }
+    catch (const nlohmann::json::exception& failure) {
+        return malformed(failure.what());
+    }
+    if (sum_of(record) != total_units) {
+        return malformed("The units of the roster do not add up.");
+    }
+    return record;
+}
+
+const roster_entry* find_entry(const roster_record& record, const host_identity& host)
+{
+    const auto found = std::find_if(record.m_entries.begin(), record.m_entries.end(),
+                                    [&](const auto& entry) { return entry.m_host == host; });
+    return found == record.m_entries.end() ? nullptr : &*found;
+}
+
+void add_entry(roster_record& record, const host_identity& host)
+{
+    if (find_entry(record, host) != nullptr) {
+        return;
+    }
+    const auto place = std::find_if(record.m_entries.begin(), record.m_entries.end(),
+                                    [&](const auto& entry) { return host < entry.m_host; });
+    record.m_entries.insert(place, {host, 0});
+}
+
+void remove_entry(roster_record& record, const host_identity& host)
+{
+    if (const auto entry = locate(record, host); entry != record.m_entries.end()) {
+        record.m_free_units += entry->m_units;
+        record.m_entries.erase(entry);
+    }
+}
+
+void release_units(roster_record& record, const host_identity& host, std::uint32_t units)
+{
+    const auto entry = locate(record, host);
+    if (entry != record.m_entries.end() && entry->m_units > units) {
+        record.m_free_units += entry->m_units - units;
+        entry->m_units = units;
+    }
+}
+
+void distribute_free_units(roster_record& record)
+{
+    std::vector<roster_entry*> poorest_first;
+    for (auto& entry : record.m_entries) {
+        poorest_first.push_back(&entry);
+    }
+    std::stable_sort(poorest_first.begin(), poorest_first.end(),
+                     [](const auto* a, const auto* b) { return a->m_units < b->m_units; });
+    const auto level = common_level(poorest_first, record.m_free_units);
+    for (auto* entry : poorest_first) {
+        const auto given =
+            entry->m_units < level ? std::min(level - entry->m_units, record.m_free_units) : 0;
+        entry->m_units += given;
+        record.m_free_units -= given;
+    }
+    for (auto* entry : poorest_first) { // The rest of the division, one unit each.
+        const std::uint32_t given = std::min(1U, record.m_free_units);
+        entry->m_units += given;
+        record.m_free_units -= given;
+    }
+}
+
+} // namespace chivevane::limits
--- /dev/null
+++ b/libraries/libpolicy/limits/share_leases.cpp
@@ -0,0 +1,242 @@
+#include "libpolicy/limits/share_leases.h"
+
+#include "libbase/rendezvous.h"
+
+#include "libpolicy/membership/membership.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chivevane::limits {
+
+namespace {
+
+constexpr duration round_interval = 300ms;  // Two requests in a row may be lost within a lease.
+constexpr duration silence_timeout = 950ms; // Three rounds without a request: not a broker now.
+constexpr std::size_t ranked_brokers = 3;
+
+/// A share may be used for loans until then, so that they end before it does.
+instant usable_until(instant sent_at)
+{
+    return sent_at + lease_duration - with_margin(loan_lifetime);
+}
+
+void add_own_part(limits_state& state, context& surroundings, std::size_t slot, instant since)
+{
+    if (state.m_roster.m_units > 0) {
+        const share_part own{surroundings.m_settings.m_self, state.m_roster.m_units, since,
+                             instant::max()};
+        add_part(state.m_pools[slot], own, surroundings.m_now);
+    }
+}
+
+void reclaim(limits_state& state, context& surroundings, std::size_t slot)
+{
+    auto& lent = state.m_leases.m_lent[slot];
+    if (lent && lent->m_until <= surroundings.m_now) {
+        lent.reset();
+        add_own_part(state, surroundings, slot, surroundings.m_now);
+    }
+}
+
+bool is_silent(const share_lease_state& leases, const std::string& name, instant now)
+{
+    const auto heard = leases.m_heard_at.find(name);
+    const auto silent = leases.m_silent_until.find(name);
+    return (heard != leases.m_heard_at.end() && now - heard->second > silence_timeout) ||
+           (silent != leases.m_silent_until.end() && silent->second > now);
+}
+
+/// All hosts that could be brokers, those that seem silent last.
+std::vector<std::string> rankable_hosts(share_lease_state& leases, context& surroundings,
+                                        const membership_state& members)
+{
+    const auto& self = surroundings.m_settings.m_self.m_name;
+    std::vector<std::string> hosts;
+    std::vector<std::string> silent;
+    for (const auto& [name, peer] : members.m_members) {
+        if (name != self && !membership::is_usable(peer)) {
+            continue;
+        }
+        leases.m_heard_at.try_emplace(name, surroundings.m_now);
+        const bool is_last = name != self && is_silent(leases, name, surroundings.m_now);
+        (is_last ? silent : hosts).push_back(name);
+    }
+    hosts.emplace_back(); // Parts the two groups.
+    hosts.insert(hosts.end(), silent.begin(), silent.end());
+    return hosts;
+}
+
+void append_ranked(std::vector<std::string>& ranking, std::string_view slot_key,
+                   std::vector<std::string> hosts)
+{
+    while (!hosts.empty() && ranking.size() < ranked_brokers) {
+        const auto next = rendezvous_owner(slot_key, hosts);
+        ranking.emplace_back(next);
+        hosts.erase(std::find(hosts.begin(), hosts.end(), ranking.back()));
+    }
+}
+
+void rank_brokers(share_lease_state& leases, context& surroundings, const membership_state& members)
+{
+    auto hosts = rankable_hosts(leases, surroundings, members);
+    if (hosts == leases.m_ranked_hosts) {
+        return;
+    }
+    leases.m_ranked_hosts = hosts;
+    const auto parting = std::find(hosts.begin(), hosts.end(), std::string{});
+    const std::vector<std::string> silent(parting + 1, hosts.end());
+    hosts.erase(parting, hosts.end());
+    for (std::size_t slot = 0; slot < slot_count; ++slot) {
+        const auto key = std::to_string(slot);
+        leases.m_ranking[slot].clear();
+        append_ranked(leases.m_ranking[slot], key, hosts);
+        append_ranked(leases.m_ranking[slot], key, silent);
+    }
+}
+
+std::vector<std::uint8_t> own_slots(const share_lease_state& leases, const std::string& self)
+{
+    std::vector<std::uint8_t> slots;
+    for (std::size_t slot = 0; slot < slot_count; ++slot) {
+        const auto& ranking = leases.m_ranking[slot];
+        if (!ranking.empty() && ranking.front() == self) {
+            slots.push_back(static_cast<std::uint8_t>(slot));
+        }
+    }
+    return slots;
+}
+
+void send_share_requests(limits_state& state, context& surroundings,
+                         const membership_state& members)
+{
+    auto& leases = state.m_leases;
+    const auto& self = surroundings.m_settings.m_self.m_name;
+    const share_request request{++leases.m_last_request, own_slots(leases, self),
+                                state.m_roster.m_version};
+    leases.m_rounds.push_back({request.m_request, surroundings.m_now});
+    while (surroundings.m_now >= usable_until(leases.m_rounds.front().m_sent_at)) {
+        leases.m_rounds.pop_front();
+    }
+    for (const auto& [name, peer] : members.m_members) {
+        if (name != self && peer.m_status != member_status::dead) {
+            emit(surroundings, send_datagram{peer.m_latest.m_address, request});
+        }
+    }
+}
+
+/// Lends this host's share of one slot, or renews that, unless it must not or need not.
+bool lend_slot(limits_state& state, context& surroundings, std::size_t slot,
+               const host_identity& broker)
+{
+    auto& pool = usable_pool(state, surroundings, slot);
+    auto& lent = state.m_leases.m_lent[slot];
+    if ((lent && lent->m_broker != broker) || state.m_roster.m_units == 0) {
+        return false;
+    }
+    if (!lent) {
+        const auto* const own = find_part(pool, surroundings.m_settings.m_self);
+        if (own == nullptr || !can_spare(pool, own->m_units)) {
+            return false;
+        }
+        remove_part(pool, surroundings.m_settings.m_self, surroundings.m_now);
+    }
+    lent = lent_slot{broker, surroundings.m_now + with_margin(lease_duration)};
+    return true;
+}
+
+void take_share(slot_pool& pool, const share_part& offered, instant now)
+{
+    auto* const known = find_part(pool, offered.m_owner);
+    if (known != nullptr && known->m_units == offered.m_units) {
+        extend_part(pool, *known, offered.m_until);
+        return;
+    }
+    remove_part(pool, offered.m_owner, now);
+    add_part(pool, offered, now);
+}
+
+} // namespace
+
+slot_pool& usable_pool(limits_state& state, context& surroundings, std::size_t slot)
+{
+    auto& pool = state.m_pools[slot];
+    expire_parts(pool, surroundings.m_now);
+    reclaim(state, surroundings, slot);
+    return pool;
+}
+
+std::span<const std::string> brokers_of(const limits_state& state, std::size_t slot)
+{
+    return state.m_leases.m_ranking[slot];
+}
+
+void run_lease_round(limits_state& state, context& surroundings, const membership_state& members)
+{
+    auto& leases = state.m_leases;
+    if (surroundings.m_now < leases.m_next_round) {
+        return;
+    }
+    leases.m_next_round = surroundings.m_now + round_interval;
+    rank_brokers(leases, surroundings, members);
+    for (std::size_t slot = 0; slot < slot_count; ++slot) {
+        usable_pool(state, surroundings, slot);
+    }
+    send_share_requests(state, surroundings, members);
+}
+
+void answer_share_request(limits_state& state, context& surroundings,
+                          const membership_state& members, const host_identity& sender,
+                          const share_request& request)
+{
+    state.m_leases.m_heard_at[sender.m_name] = surroundings.m_now;
+    const auto* const peer = membership::find_member(members, sender.m_name);
+    if (peer == nullptr) {
+        return;
+    }
+    share_response response{
+        request.m_request, state.m_roster.m_units, {}, state.m_roster.m_version};
+    for (const auto slot : request.m_slots) {
+        if (slot < slot_count && lend_slot(state, surroundings, slot, sender)) {
+            response.m_slots.push_back(slot);
+        }
+    }
+    if (!response.m_slots.empty()) {
+        emit(surroundings, send_datagram{peer->m_latest.m_address, std::move(response)});
+    }
+}
+
+void take_shares(limits_state& state, context& surroundings, const host_identity& sender,
+                 const share_response& response)
+{
+    const auto& rounds = state.m_leases.m_rounds;
+    const auto round = std::find_if(rounds.begin(), rounds.end(), [&](const auto& known) {
+        return known.m_request == response.m_request;
+    });
+    if (round == rounds.end() || surroundings.m_now >= usable_until(round->m_sent_at) ||
+        response.m_units == 0 || response.m_units > total_units) {
+        return;
+    }
+    const share_part offered{sender, response.m_units, surroundings.m_now,
+                             usable_until(round->m_sent_at)};
+    for (const auto slot : response.m_slots) {
+        if (slot < slot_count) {
+            take_share(usable_pool(state, surroundings, slot), offered, surroundings.m_now);
+        }
+    }
+}
+
+void resize_own_share(limits_state& state, context& surroundings, std::uint32_t units,
+                      instant since)
+{
+    state.m_roster.m_units = units;
+    for (std::size_t slot = 0; slot < slot_count; ++slot) {
+        auto& pool = usable_pool(state, surroundings, slot);
+        if (!state.m_leases.m_lent[slot]) {
+            remove_part(pool, surroundings.m_settings.m_self, surroundings.m_now);
+            add_own_part(state, surroundings, slot, since);
+        }
+    }
+}
+
+} // namespace chivevane::limits
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -103,6 +103,16 @@
                        limits::on_loan_response(node.m_limits, surroundings, node.m_membership,
                                                 sender, response);
                    },
+                   [&](const loan_report& report) {
+                       limits::on_loan_report(node.m_limits, surroundings, sender, report);
+                   },
+                   [&](const share_request& request) {
+                       limits::on_share_request(node.m_limits, surroundings, node.m_membership,
+                                                sender, request);
+                   },
+                   [&](const share_response& response) {
+                       limits::on_share_response(node.m_limits, surroundings, sender, response);
+                   },
                    [&](const void_request& request) {
                        gate::on_void_request(node, surroundings, sender, request);
                    },
--- a/tests/libpolicy/node_fixture.cpp
+++ b/tests/libpolicy/node_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include "libbase/digest.h"
 #include "libpolicy/configuration/document_record.h"
+#include "libpolicy/limits/roster_record.h"
 
 #include <fmt/format.h>
 
@@ -39,9 +40,24 @@
     settings.m_datacentre = "marsh";
     settings.m_address = {"127.0.1.1", 7001, 7002, 7003, 7004};
     settings.m_shared_secret = "secret";
+    const auto begin = m_now;
+    m_now -= 1min; // Long enough for every organisation's burst to be there.
     auto started = start_node(settings, m_now, wall_at_start_ms);
     m_node = std::move(started.m_state);
     m_start_effects = std::move(started.m_effects);
+    give_whole_share();
+    m_now = begin;
+}
+
+void node_fixture::give_whole_share()
+{
+    const roster_record roster{0, {{m_node.m_settings.m_self, total_units}}};
+    for (const auto& call : only<call_store>(m_start_effects)) {
+        if (call.m_purpose == store_purpose::roster) {
+            const store_entry entry{"/chivevane/roster", limits::encode_roster(roster), 1};
+            feed(store_response{call.m_operation_id, call.m_purpose, store_entries{1, {entry}}});
+        }
+    }
 }
 
 effect_list node_fixture::feed(event_body body)
--- a/tests/libpolicy/node_fixture.h
+++ b/tests/libpolicy/node_fixture.h
@@ -21,6 +21,9 @@
     /// Moves the clock and lets the timer fire.
     effect_list advance(duration step);
 
+    /// Answers the first read of the roster: this host holds every organisation's whole share.
+    void give_whole_share();
+
     /// Puts `sample_document` in force, as read from the store.
     void load_sample_document();
 
