--- a/libraries/libwire/message.h
+++ b/libraries/libwire/message.h
@@ -13,6 +13,7 @@
 /// the wire.
 using message = std::variant<heartbeat, document_revisions, loan_request, loan_response,
                              void_request, void_response, crash_report, health_report, loan_report,
-                             share_request, share_response>;
+                             share_request, share_response, gossip, probe, probe_ack,
+                             account_request, document_question>;
 
 } // namespace chivevane
