libpolicy: Learn the concurrency of an upstream and queue fairly

The gate gave every upstream all its slots from the start and queued first come, first served: a cold upstream was overloaded at once, and an organisation that flooded filled the queue.

The limit now begins at one and climbs by one after a number of good answers at good latency. The queue gives the next turn to the organisation that was given the least in the last second or so, holds an even part for each, and refuses at once what could not be answered before its deadline.

(test_libpolicy -t admission_at_the_gate)

--- /dev/null
+++ b/tests/libpolicy/admission_test.cpp
@@ -0,0 +1,302 @@
+#include "libpolicy/admission/admission.h"
+
+#include "libbase/random_engine.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <queue>
+#include <vector>
+
+using namespace chivevane;
+
+BOOST_AUTO_TEST_SUITE(admission_at_the_gate)
+
+namespace {
+
+/// How the gate of the model admits.
+enum class gate_policy : std::uint8_t { adaptive, all_slots };
+
+/// One upstream that bears one request when cold and four when warm. It warms up with each good
+/// answer, and beyond what it bears it gets slow and cold again.
+struct cold_upstream {
+    double m_warmth = 0; ///< 0 to 1.
+    std::uint32_t m_running = 0;
+
+    double bearable() const { return 1 + 3 * m_warmth; }
+};
+
+/// Organisations that send to one gate in made-up time.
+struct gate_model {
+    struct sender {
+        double m_rate = 0; ///< Requests per second.
+        std::uint64_t m_sent = 0;
+        std::vector<duration> m_answered{}; ///< From arrival to the answer.
+    };
+
+    explicit gate_model(std::uint64_t seed, std::vector<double> rates) : m_random{seed}
+    {
+        admission::set_upstream(m_state, "e", 4, upstream_warmth::cold,
+                                admission::upstream_news::started_anew, m_now);
+        for (const auto rate : rates) {
+            const auto index = m_senders.size();
+            m_senders.push_back({rate});
+            at(m_now, [this, index] { send(index); });
+        }
+    }
+
+    void run_for(duration length)
+    {
+        const auto end = m_now + length;
+        while (!m_queue.empty() && m_queue.begin()->first <= end) {
+            const auto [when, action] = *m_queue.begin();
+            m_queue.erase(m_queue.begin());
+            m_now = when;
+            action();
+            turn();
+        }
+        m_now = end;
+    }
+
+    void at(instant when, std::function<void()> action) { m_queue.emplace(when, action); }
+
+    double exponential() { return -std::log(1 - uniform_fraction(m_random)); }
+
+    void send(std::size_t index)
+    {
+        auto& from = m_senders[index];
+        ++from.m_sent;
+        const attempt_id id{{"ingress", 1}, ++m_last_request, 1};
+        const queued_attempt offered{id, "e", fmt::format("org-{}", index), m_now + m_patience};
+        m_pending[id] = {index, m_now};
+        if (m_policy == gate_policy::all_slots) {
+            m_pending[id].second = m_now;
+            m_cold.m_running < 4 ? start(id) : refuse(id);
+        }
+        else {
+            switch (admission::offer(m_state, offered, m_now)) {
+            case admission::verdict::start:
+                start(id);
+                break;
+            case admission::verdict::queued:
+                break;
+            case admission::verdict::refused:
+                refuse(id);
+                break;
+            }
+        }
+        at(m_now + from_seconds(exponential() / from.m_rate), [this, index] { send(index); });
+    }
+
+    void refuse(const attempt_id& id)
+    {
+        m_pending.erase(id);
+        ++m_refused;
+    }
+
+    void start(const attempt_id& id)
+    {
+        const auto asked = m_pending.at(id);
+        m_pending.erase(id);
+        ++m_cold.m_running;
+        const bool is_too_much = m_is_cold_model && m_cold.m_running > m_cold.bearable() + 1e-9;
+        m_overloads += is_too_much ? 1 : 0;
+        ++m_starts;
+        if (is_too_much) {
+            m_cold.m_warmth = std::max(0.0, m_cold.m_warmth - 0.1);
+        }
+        const auto latency = from_seconds(0.02 * (is_too_much ? 20 : 1) * std::exp(0.3 * normal()));
+        at(m_now + latency, [this, asked, latency, is_too_much] {
+            --m_cold.m_running;
+            const auto result = is_too_much && uniform_fraction(m_random) < 0.5
+                                    ? admission::run_result::load_refused
+                                    : admission::run_result::good;
+            if (!is_too_much) {
+                m_cold.m_warmth = std::min(1.0, m_cold.m_warmth + 0.002);
+            }
+            admission::finished(m_state, "e", result, latency, m_now);
+            if (result == admission::run_result::good) {
+                m_senders[asked.first].m_answered.push_back(m_now - asked.second);
+            }
+        });
+    }
+
+    void turn()
+    {
+        for (const auto& expired : admission::take_expired(m_state, m_now)) {
+            refuse(expired.m_attempt);
+        }
+        for (const auto& waiting : admission::take_startable(m_state, m_now)) {
+            start(waiting.m_attempt);
+        }
+        if (const auto next = admission::next_wakeup(m_state);
+            next > m_now && next < instant::max() && next != m_wakeup) {
+            m_wakeup = next;
+            at(next, [] {});
+        }
+    }
+
+    double normal()
+    {
+        return std::sqrt(2 * exponential()) * std::cos(6.283185307 * uniform_fraction(m_random));
+    }
+
+    std::uint64_t answered() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& from : m_senders) {
+            sum += from.m_answered.size();
+        }
+        return sum;
+    }
+
+    random_engine m_random;
+    admission_state m_state;
+    gate_policy m_policy = gate_policy::adaptive;
+    bool m_is_cold_model = false;
+    cold_upstream m_cold;
+    std::vector<sender> m_senders;
+    std::multimap<instant, std::function<void()>> m_queue;
+    std::map<attempt_id, std::pair<std::size_t, instant>> m_pending;
+    std::uint64_t m_last_request = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_overloads = 0;
+    std::uint64_t m_starts = 0;
+    duration m_patience = 1s;
+    instant m_now{1h};
+    instant m_wakeup;
+};
+
+duration p99(std::vector<duration> values)
+{
+    std::sort(values.begin(), values.end());
+    return values.at(values.size() * 99 / 100);
+}
+
+queued_attempt attempt_of(std::uint64_t number, std::string organisation, instant deadline)
+{
+    return {{{"ingress", 1}, number, 1}, "e", std::move(organisation), deadline};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_flood_of_one_organisation_leaves_the_others_their_part)
+{
+    // Eight organisations at three quarters of the capacity; one of them then sends ten times more.
+    const std::vector<double> calm(8, 18.0);
+    auto flooded = calm;
+    flooded[0] *= 10;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        gate_model without{seed, calm};
+        gate_model with{seed, flooded};
+        for (auto* each : {&without, &with}) {
+            each->run_for(10s); // Until the upstream is warm.
+            for (auto& from : each->m_senders) {
+                from = {from.m_rate};
+            }
+            each->run_for(120s);
+        }
+        double worst_part = 1;
+        double worst_delay = 0;
+        for (std::size_t index = 1; index < calm.size(); ++index) {
+            const auto& before = without.m_senders[index];
+            const auto& after = with.m_senders[index];
+            const auto part_before =
+                static_cast<double>(before.m_answered.size()) / static_cast<double>(before.m_sent);
+            const auto part_after =
+                static_cast<double>(after.m_answered.size()) / static_cast<double>(after.m_sent);
+            worst_part = std::min(worst_part, part_after / part_before);
+            worst_delay = std::max(worst_delay, to_seconds(p99(after.m_answered)) /
+                                                    to_seconds(p99(before.m_answered)));
+        }
+        BOOST_TEST_MESSAGE("flood, seed " << seed << ": worst part " << worst_part
+                                          << ", worst p99 ratio " << worst_delay);
+        BOOST_TEST(worst_part >= 0.95);
+        BOOST_TEST(worst_delay <= 1.5);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_upstream_warms_up_under_a_fleet_that_wants_it)
+{
+    // 34 hosts that send what 34 warm upstreams would bear, all to the one that is cold.
+    const std::vector<double> fleet(34, 6.0);
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        gate_model model{seed, fleet};
+        gate_model naive{seed, fleet};
+        naive.m_policy = gate_policy::all_slots;
+        for (auto* each : {&model, &naive}) {
+            each->m_is_cold_model = true;
+            each->run_for(60s);
+        }
+        const auto before = model.answered();
+        model.run_for(10s);
+        const auto warm_rate = static_cast<double>(model.answered() - before) / 10;
+        BOOST_TEST_MESSAGE("cold start, seed " << seed << ": " << model.m_overloads << " of "
+                                               << model.m_starts << " starts beyond the bearable, "
+                                               << warm_rate << " answers/s in the end; naive "
+                                               << naive.m_overloads << " of " << naive.m_starts);
+        BOOST_TEST(static_cast<double>(model.m_overloads) <
+                   0.01 * static_cast<double>(model.m_starts));
+        BOOST_TEST(warm_rate > 120);
+        BOOST_TEST(naive.m_overloads > naive.m_starts / 2);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_warm_upstream_that_falls_cold_is_given_one_at_a_time_again)
+{
+    gate_model model{7, std::vector<double>(8, 30.0)};
+    model.m_is_cold_model = true;
+    model.run_for(60s);
+    BOOST_TEST(admission::load_of(model.m_state, "e").m_concurrency == 4U);
+    model.m_cold.m_warmth = 0;
+    std::uint32_t least = 4;
+    for (int step = 0; step < 20; ++step) {
+        model.run_for(50ms);
+        least = std::min(least, admission::load_of(model.m_state, "e").m_concurrency);
+    }
+    BOOST_TEST(least == 1U);
+    model.run_for(60s);
+    BOOST_TEST(admission::load_of(model.m_state, "e").m_concurrency == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(the_queue_is_fair_bounded_and_knows_deadlines)
+{
+    const instant now{1h};
+    admission_state state;
+    admission::set_upstream(state, "e", 1, upstream_warmth::warm,
+                            admission::upstream_news::started_anew, now);
+    std::uint64_t number = 0;
+    const auto offer = [&](std::string organisation, duration patience) {
+        return admission::offer(state,
+                                attempt_of(++number, std::move(organisation), now + patience), now);
+    };
+    BOOST_TEST((offer("a", 1s) == admission::verdict::start));
+    std::size_t queued = 0;
+    while (offer("a", 1s) == admission::verdict::queued) {
+        ++queued;
+    }
+    BOOST_TEST(queued <= 16U);
+    BOOST_TEST((offer("b", 1s) == admission::verdict::queued));
+    BOOST_TEST((offer("a", 1s) == admission::verdict::refused));
+
+    // The newcomer is next although many of "a" came before.
+    admission::finished(state, "e", admission::run_result::good, 10ms, now);
+    BOOST_TEST(admission::take_startable(state, now).at(0).m_organisation == "b");
+
+    // Once the latency is known, who cannot have an answer in time is refused at once.
+    for (int answer = 0; answer < 10; ++answer) {
+        admission::finished(state, "e", admission::run_result::good, 10ms, now + 1s);
+        admission::take_startable(state, now + 1s);
+    }
+    const auto late = attempt_of(++number, "c", now + 1s + 5ms);
+    BOOST_TEST((admission::offer(state, late, now + 1s) == admission::verdict::refused));
+    const auto waiting = admission::load_of(state, "e").m_queued;
+    BOOST_TEST(admission::take_expired(state, now + 1s).size() == waiting);
+    BOOST_TEST((admission::next_wakeup(state) == instant::max()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
