libpolicy: Judge upstreams by the evidence of all hosts

Nothing was ever ejected. Each gate now counts its upstream's answers by route, ingresses add the answers that were spoilt on the way, and all hosts exchange these counters twice a second, sooner when they look bad. Cumulative counters make lost, doubled and late reports harmless. Every host judges the upstreams of a service against each other by sequential tests for failures, slow and straggling answers; trouble that most peers share ejects nobody. Ejected ones come back by trial and ramp, and each relapse doubles the stay. The floor is enforced again at each choice of an upstream, so neither stale verdicts nor changed membership nor a private view of unreachable upstreams can go below it.

Ruled out: verdicts at the first crossing of a bound (reports of a trouble common to all arrive one after the other, and a host ejected its own upstream first), and the median of the peers' shares as the ordinary (it is zero for rare symptoms and ejected healthy upstreams at start).

--- /dev/null
+++ b/libraries/libpolicy/health/evidence_exchange.cpp
@@ -0,0 +1,145 @@
+#include "libpolicy/health/evidence_exchange.h"
+
+#include <utility>
+
+namespace chivevane::health {
+
+namespace {
+
+constexpr std::size_t report_size = 1100; // Bytes; the stamp and signature take the rest of 1,400.
+constexpr std::size_t evidence_size = 38 + 2 * (1 + latency_bucket_count); // Without its names.
+constexpr std::uint64_t refresh_windows = 10;
+constexpr std::uint32_t urgent_failures = 2;
+constexpr std::uint32_t urgent_bad = 3;
+constexpr double urgent_share = 0.4; // Well above the share of slow answers on ordinary days.
+constexpr duration unused_lifetime = 10min;
+constexpr duration unbroken_silence = 30s; // Counters can't pass 65,536 answers in that time.
+
+std::size_t encoded_size(const upstream_evidence& evidence)
+{
+    return evidence_size + evidence.m_upstream.m_host.size() +
+           evidence.m_upstream.m_endpoint.size() + evidence.m_service.size() +
+           evidence.m_route.size();
+}
+
+/// Whether `seen` is evidence that this host has to count. A gate counts all answers of its
+/// upstream; an ingress adds the answers that were spoilt on the way to it.
+bool is_counted(const observation& seen)
+{
+    if (seen.m_observer == observer::gate) {
+        return seen.m_result != observed_result::unreachable;
+    }
+    return seen.m_result == observed_result::wrong;
+}
+
+evidence_source& source_of(evidence_inbox& inbox, const host_identity& sender, std::uint64_t window,
+                           instant now)
+{
+    auto& source = inbox.m_sources[sender.m_name];
+    if (source.m_incarnation != sender.m_incarnation ||
+        now - source.m_heard_at > unbroken_silence) {
+        source = {sender.m_incarnation, window, now, {}};
+    }
+    source.m_heard_at = now;
+    return source;
+}
+
+} // namespace
+
+void observe(evidence_outbox& outbox, std::string_view self, const observation& seen,
+             duration slow_from, instant now)
+{
+    if (!is_counted(seen)) {
+        return;
+    }
+    auto& own = outbox.m_evidence[{seen.m_upstream, seen.m_route}];
+    auto& evidence = own.m_evidence;
+    if (evidence.m_service.empty()) {
+        const bool is_own = seen.m_upstream.m_host == self;
+        const auto window = static_cast<std::uint32_t>(outbox.m_window + 1);
+        evidence = {seen.m_upstream, seen.m_service, seen.m_route, window, {}};
+        evidence.m_upstream.m_host = is_own ? "" : seen.m_upstream.m_host;
+    }
+    ++outbox.m_unsent_answers;
+    if (seen.m_result == observed_result::good) {
+        ++evidence.m_counters.m_latencies[bucket_of(seen.m_latency)];
+        outbox.m_unsent_slow += seen.m_latency >= slow_from ? 1 : 0;
+    }
+    else {
+        ++evidence.m_counters.m_failures;
+        ++outbox.m_unsent_failures;
+    }
+    own.m_changed_at = now;
+    own.m_is_unsent = true;
+}
+
+bool is_urgent(const evidence_outbox& outbox)
+{
+    const auto bad = outbox.m_unsent_failures + outbox.m_unsent_slow;
+    return outbox.m_unsent_failures >= urgent_failures ||
+           (bad >= urgent_bad && bad >= urgent_share * outbox.m_unsent_answers);
+}
+
+std::vector<health_report> take_reports(evidence_outbox& outbox, instant now)
+{
+    std::erase_if(outbox.m_evidence, [now](const auto& entry) {
+        return now - entry.second.m_changed_at > unused_lifetime;
+    });
+    outbox.m_unsent_answers = outbox.m_unsent_failures = outbox.m_unsent_slow = 0;
+    const auto window = ++outbox.m_window;
+    const bool is_refresh = window % refresh_windows == 0;
+    std::vector<health_report> reports;
+    std::size_t size = report_size;
+    for (auto& [key, own] : outbox.m_evidence) {
+        if (!is_refresh && !own.m_is_unsent) {
+            continue;
+        }
+        own.m_is_unsent = false;
+        size += encoded_size(own.m_evidence);
+        if (size > report_size) {
+            reports.push_back({window, {}});
+            size = encoded_size(own.m_evidence);
+        }
+        reports.back().m_evidence.push_back(own.m_evidence);
+    }
+    return reports;
+}
+
+std::vector<received_evidence> receive(evidence_inbox& inbox, const host_identity& sender,
+                                       const health_report& report, instant now)
+{
+    const auto known = inbox.m_sources.find(sender.m_name);
+    if (known != inbox.m_sources.end() && known->second.m_incarnation > sender.m_incarnation) {
+        return {};
+    }
+    auto& source = source_of(inbox, sender, report.m_window, now);
+    std::vector<received_evidence> news;
+    for (const auto& evidence : report.m_evidence) {
+        evidence_key key{evidence.m_upstream, evidence.m_route};
+        if (key.m_upstream.m_host.empty()) {
+            key.m_upstream.m_host = sender.m_name;
+        }
+        auto& last = source.m_received[key];
+        if (report.m_window <= last.m_window) {
+            continue;
+        }
+        const bool is_known = last.m_window > 0 && last.m_since == evidence.m_since;
+        const bool is_baseline = !is_known && evidence.m_since < source.m_first_window;
+        const auto earlier = is_known ? last.m_counters : evidence_counters{};
+        const auto answers = difference(evidence.m_counters, earlier);
+        last = {report.m_window, evidence.m_since, evidence.m_counters};
+        if (!is_baseline && requests_of(answers) > 0) {
+            news.push_back({std::move(key), evidence.m_service, answers});
+        }
+    }
+    return news;
+}
+
+void forget_old(evidence_inbox& inbox, instant now)
+{
+    std::erase_if(inbox.m_sources, [now](const auto& entry) {
+        return now - entry.second.m_heard_at > unused_lifetime;
+    });
+}
+
+} // namespace chivevane::health
--- a/libraries/libpolicy/health/health.cpp
+++ b/libraries/libpolicy/health/health.cpp
@@ -1,27 +1,183 @@
 #include "libpolicy/health/health.h"
 
+#include "libpolicy/configuration/configuration.h"
+#include "libpolicy/health/judgement.h"
+#include "libpolicy/membership/membership.h"
+
+#include <algorithm>
+
 namespace chivevane::health {
 
-void observe(health_state&, context&, const observation&) {}
+namespace {
+
+constexpr duration report_interval = 500ms;
+constexpr double unreachable_excess = 2; // Worse than any upstream that answers.
+
+void take_in(health_state& state, const host_identity& sender, const health_report& report)
+{
+    for (const auto& news : receive(state.m_inbox, sender, report, state.m_now)) {
+        pool(state, news, state.m_now);
+    }
+}
+
+void send_reports(health_state& state, context& surroundings, const membership_state& members)
+{
+    const auto& self = surroundings.m_settings.m_self;
+    for (const auto& report : state.m_own_reports) {
+        take_in(state, self, report);
+    }
+    state.m_own_reports = take_reports(state.m_outbox, state.m_now);
+    for (const auto& report : state.m_own_reports) {
+        for (const auto& [name, peer] : members.m_members) {
+            if (name != self.m_name && membership::is_usable(peer)) {
+                emit(surroundings, send_datagram{peer.m_latest.m_address, report});
+            }
+        }
+    }
+}
+
+const route_expectation* find_expectation(const health_state& state, std::string_view service,
+                                          std::string_view route)
+{
+    const auto found = state.m_services.find(service);
+    if (found == state.m_services.end()) {
+        return nullptr;
+    }
+    const auto expected = found->second.m_routes.find(route);
+    return expected == found->second.m_routes.end() ? nullptr : &expected->second;
+}
+
+/// The live, serving upstreams of each service outside the data centres that are out.
+std::map<std::string_view, std::vector<floor_member>> floor_members(const health_state& state,
+                                                                    const membership_state& members)
+{
+    std::map<std::string_view, std::vector<floor_member>> services;
+    for (const auto& [name, peer] : members.m_members) {
+        if (!membership::is_usable(peer)) {
+            continue;
+        }
+        for (const auto& summary : peer.m_latest.m_upstreams) {
+            const auto found = state.m_upstreams.find({name, summary.m_endpoint});
+            if (found == state.m_upstreams.end() || found->second.m_is_out ||
+                summary.m_phase != upstream_phase::serving) {
+                continue;
+            }
+            services[summary.m_service].push_back(
+                {&found->first, static_cast<double>(summary.m_slots),
+                 verdict_before_floor(state, found->first, state.m_now),
+                 excess_of(state, found->first, state.m_now)});
+        }
+    }
+    return services;
+}
+
+void keep_floor(health_state& state, const membership_state& members,
+                const configuration_state& configuration)
+{
+    for (auto& [upstream, record] : state.m_upstreams) {
+        record.m_is_kept_in_use = false;
+    }
+    for (auto& [service, group] : floor_members(state, members)) {
+        enforce_floor(group, floor_of(configuration, service));
+        for (const auto& member : group) {
+            const auto plain = verdict_before_floor(state, *member.m_upstream, state.m_now);
+            state.m_upstreams.at(*member.m_upstream).m_is_kept_in_use =
+                plain.m_standing != standing::healthy &&
+                member.m_verdict.m_standing == standing::healthy;
+        }
+    }
+}
+
+} // namespace
+
+void observe(health_state& state, context& surroundings, const observation& seen)
+{
+    state.m_now = surroundings.m_now;
+    if (seen.m_observer == observer::ingress) {
+        observe(state.m_paths, seen, surroundings.m_now);
+    }
+    const auto* ordinary = find_expectation(state, seen.m_service, seen.m_route);
+    observe(state.m_outbox, surroundings.m_settings.m_self.m_name, seen,
+            ordinary == nullptr ? duration::max() : ordinary->m_slow_from, surroundings.m_now);
+}
+
+void on_report(health_state& state, context& surroundings, const host_identity& sender,
+               const health_report& report)
+{
+    state.m_now = surroundings.m_now;
+    if (sender.m_name != surroundings.m_settings.m_self.m_name) {
+        take_in(state, sender, report);
+    }
+}
+
+void on_timer(health_state& state, context& surroundings, const membership_state& members,
+              const configuration_state& configuration)
+{
+    state.m_now = surroundings.m_now;
+    const bool judgement_is_due = surroundings.m_now >= state.m_next_judgement;
+    if (surroundings.m_now >= state.m_next_report ||
+        (judgement_is_due && is_urgent(state.m_outbox))) {
+        state.m_next_report = surroundings.m_now + report_interval;
+        send_reports(state, surroundings, members);
+    }
+    if (judgement_is_due) {
+        state.m_next_judgement = surroundings.m_now + judgement_interval;
+        follow_fleet(state, members, configuration, surroundings.m_now);
+        judge(state, surroundings);
+        keep_floor(state, members, configuration);
+        forget_old(state.m_paths, surroundings.m_now);
+        forget_old(state.m_inbox, surroundings.m_now);
+    }
+}
 
-void on_report(health_state&, context&, const host_identity&, const health_report&) {}
+verdict verdict_before_floor(const health_state& state, const upstream_id& upstream, instant now)
+{
+    if (is_avoided(state.m_paths, upstream, now)) {
+        return {standing::ejected, 0};
+    }
+    const auto found = state.m_upstreams.find(upstream);
+    if (found == state.m_upstreams.end()) {
+        return {};
+    }
+    const auto& record = found->second;
+    if (record.m_is_out && record.m_standing.m_standing == standing::healthy) {
+        auto about_to_return = record.m_standing;
+        begin_ramp(about_to_return, now);
+        return verdict_of(about_to_return, 1, now);
+    }
+    const auto service = state.m_services.find(record.m_service);
+    const auto trial_share = service == state.m_services.end() ? 1 : service->second.m_trial_share;
+    return verdict_of(record.m_standing, trial_share, now);
+}
 
-void on_timer(health_state&, context&, const membership_state&, const configuration_state&) {}
+double excess_of(const health_state& state, const upstream_id& upstream, instant now)
+{
+    if (is_avoided(state.m_paths, upstream, now)) {
+        return unreachable_excess;
+    }
+    const auto found = state.m_upstreams.find(upstream);
+    return found == state.m_upstreams.end() ? 0 : found->second.m_excess;
+}
 
 verdict verdict_on(const health_state& state, const upstream_id& upstream)
 {
-    return state.m_ejected.contains(upstream) ? verdict{standing::ejected, 0} : verdict{};
+    const auto found = state.m_upstreams.find(upstream);
+    if (found != state.m_upstreams.end() && found->second.m_is_kept_in_use) {
+        return {standing::healthy, 1};
+    }
+    return verdict_before_floor(state, upstream, state.m_now);
 }
 
-duration expected_latency(const health_state&, std::string_view, std::string_view,
-                          duration fallback)
+duration expected_latency(const health_state& state, std::string_view service,
+                          std::string_view route, duration fallback)
 {
-    return fallback;
+    const auto* ordinary = find_expectation(state, service, route);
+    return ordinary == nullptr ? fallback : ordinary->m_limit;
 }
 
-instant next_wakeup(const health_state&)
+instant next_wakeup(const health_state& state)
 {
-    return instant::max();
+    return std::min(state.m_next_report, state.m_next_judgement);
 }
 
 } // namespace chivevane::health
--- a/libraries/libpolicy/health/health.h
+++ b/libraries/libpolicy/health/health.h
@@ -2,23 +2,19 @@
 
 #include "libpolicy/configuration/configuration_state.h"
 #include "libpolicy/context.h"
+#include "libpolicy/health/floor.h"
 #include "libpolicy/health/health_state.h"
 #include "libpolicy/health/observation.h"
+#include "libpolicy/health/standing.h"
 #include "libpolicy/membership/membership_state.h"
 
 #include <string_view>
 
+/// Which upstreams are sick, from the evidence of all hosts, and what they may get meanwhile.
 namespace chivevane::health {
 
-/// How much new work an upstream should get.
-enum class standing : std::uint8_t {
-    healthy,
-    trial,   ///< A few idempotent requests only.
-    ramping, ///< A growing share.
-    ejected, ///< None.
-};
-
-/// Adds what this host saw.
+/// Adds what this host saw. An ingress should tell of good answers too: they clear its private
+/// view of an unreachable upstream.
 void observe(health_state& state, context& surroundings, const observation& seen);
 
 /// Adds what another host saw.
@@ -29,11 +25,13 @@
 void on_timer(health_state& state, context& surroundings, const membership_state& members,
               const configuration_state& configuration);
 
-/// The verdict on `upstream`; `m_share` of its fair part of the work, 0 to 1.
-struct verdict {
-    standing m_standing = standing::healthy;
-    double m_share = 1;
-};
+/// The verdict on `upstream` before the floor: pooled evidence and this host's own way there.
+verdict verdict_before_floor(const health_state& state, const upstream_id& upstream, instant now);
+
+/// How bad the upstream is, 0 to 1; more than 1 for one that this host cannot reach.
+double excess_of(const health_state& state, const upstream_id& upstream, instant now);
+
+/// The verdict on `upstream` with the floor as of the last `on_timer`.
 verdict verdict_on(const health_state& state, const upstream_id& upstream);
 
 /// The time within which an attempt on this route ordinarily has its answer: a deadline for
--- a/libraries/libpolicy/routing/routing.cpp
+++ b/libraries/libpolicy/routing/routing.cpp
@@ -11,42 +11,122 @@
 
 namespace {
 
+constexpr double own_datacentre_preference = 1.25; // Worth a millisecond, not a queue.
+
+/// An upstream that may be chosen.
+struct candidate {
+    choice m_choice;
+    const upstream_summary* m_summary = nullptr;
+    bool m_is_near = false;
+    double m_weight = 0;
+};
+
 bool was_tried(const question& asked, const upstream_id& upstream)
 {
     return std::find(asked.m_tried.begin(), asked.m_tried.end(), upstream) != asked.m_tried.end();
 }
 
-} // namespace
-
-std::optional<choice> choose_upstream(context& surroundings, const membership_state& members,
-                                      const health_state& health,
-                                      const configuration_state& configuration,
-                                      const question& asked)
+/// The live, serving upstreams of the service outside the data centres that are out.
+std::vector<candidate> find_candidates(const context& surroundings, const membership_state& members,
+                                       const configuration_state& configuration,
+                                       std::string_view service)
 {
-    std::vector<choice> untried;
-    std::vector<choice> tried;
+    std::vector<candidate> found;
     for (const auto& [name, peer] : members.m_members) {
         const auto& latest = peer.m_latest;
-        if (!membership::is_usable(peer) ||
-            configuration::is_datacentre_out(configuration, asked.m_service, latest.m_datacentre)) {
+        if (!membership::is_usable(peer)) {
             continue;
         }
         for (const auto& summary : latest.m_upstreams) {
-            const upstream_id upstream{name, summary.m_endpoint};
-            if (summary.m_service != asked.m_service ||
-                summary.m_phase != upstream_phase::serving ||
-                health::verdict_on(health, upstream).m_standing == health::standing::ejected) {
+            if (summary.m_service != service || summary.m_phase != upstream_phase::serving ||
+                configuration::is_datacentre_out(configuration, service, latest.m_datacentre)) {
                 continue;
             }
-            auto& group = was_tried(asked, upstream) ? tried : untried;
-            group.push_back({upstream, latest.m_address, latest.m_identity.m_incarnation});
+            const bool is_near = latest.m_datacentre == surroundings.m_settings.m_datacentre;
+            found.push_back(
+                {{{name, summary.m_endpoint}, latest.m_address, latest.m_identity.m_incarnation},
+                 &summary,
+                 is_near});
+        }
+    }
+    return found;
+}
+
+/// What a candidate may get relative to others: its capacity, cut by its standing.
+double weight_of(const candidate& each, const health::verdict& verdict, repeatability repeats)
+{
+    if (verdict.m_standing == health::standing::trial && repeats != repeatability::idempotent) {
+        return 0;
+    }
+    const auto capacity = std::max(1U, each.m_summary->m_concurrency);
+    const auto preference = each.m_is_near ? own_datacentre_preference : 1.0;
+    return verdict.m_share * capacity * preference;
+}
+
+void weigh(std::vector<candidate>& candidates, const health_state& health, double floor,
+           repeatability repeats, instant now)
+{
+    std::vector<health::floor_member> members;
+    for (const auto& each : candidates) {
+        const auto& upstream = each.m_choice.m_upstream;
+        members.push_back({&upstream, static_cast<double>(each.m_summary->m_slots),
+                           health::verdict_before_floor(health, upstream, now),
+                           health::excess_of(health, upstream, now)});
+    }
+    health::enforce_floor(members, floor);
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        candidates[index].m_weight =
+            weight_of(candidates[index], members[index].m_verdict, repeats);
+    }
+}
+
+/// Picks one candidate with a probability in proportion to its weight.
+const candidate& pick(random_engine& engine, const std::vector<candidate>& candidates)
+{
+    double total = 0;
+    for (const auto& each : candidates) {
+        total += each.m_weight;
+    }
+    auto place = uniform_fraction(engine) * total;
+    for (const auto& each : candidates) {
+        place -= each.m_weight;
+        if (place < 0) {
+            return each;
         }
     }
-    const auto& group = untried.empty() ? tried : untried;
-    if (group.empty()) {
+    return candidates.back();
+}
+
+/// Waiting requests for each one that runs at once.
+double pressure_on(const candidate& each)
+{
+    return each.m_summary->m_queued /
+           static_cast<double>(std::max(1U, each.m_summary->m_concurrency));
+}
+
+} // namespace
+
+std::optional<choice> choose_upstream(context& surroundings, const membership_state& members,
+                                      const health_state& health,
+                                      const configuration_state& configuration,
+                                      const question& asked)
+{
+    auto candidates = find_candidates(surroundings, members, configuration, asked.m_service);
+    weigh(candidates, health, health::floor_of(configuration, asked.m_service),
+          asked.m_repeatability, surroundings.m_now);
+    std::erase_if(candidates, [](const candidate& each) { return each.m_weight <= 0; });
+    const auto tried = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [&asked](const candidate& each) { return !was_tried(asked, each.m_choice.m_upstream); });
+    if (tried != candidates.begin()) {
+        candidates.erase(tried, candidates.end());
+    }
+    if (candidates.empty()) {
         return std::nullopt;
     }
-    return group[surroundings.m_random(static_cast<std::uint32_t>(group.size()))];
+    const auto& first = pick(surroundings.m_random, candidates);
+    const auto& second = pick(surroundings.m_random, candidates);
+    return pressure_on(second) < pressure_on(first) ? second.m_choice : first.m_choice;
 }
 
 } // namespace chivevane::routing
--- /dev/null
+++ b/tests/libpolicy/health_return_test.cpp
@@ -0,0 +1,105 @@
+#include "libpolicy/fleet_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+BOOST_AUTO_TEST_SUITE(health_return)
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_recovered_comes_back_by_trial_and_ramp)
+{
+    fleet_model model{{}, 1};
+    model.run_for(5s);
+    auto& victim = model.m_upstreams[0];
+    victim.m_sickness = {1, 1};
+    victim.m_sick_from = model.m_now;
+    model.run_for(3s);
+    BOOST_TEST(model.count_standing(0, health::standing::ejected) == model.m_hosts.size());
+    const auto while_ejected = model.m_tally.m_started[0];
+    model.run_for(1s);
+    BOOST_TEST(model.m_tally.m_started[0] == while_ejected);
+
+    victim.m_sick_from = instant::max();
+    std::size_t trials = 0;
+    std::size_t ramps = 0;
+    for (int step = 0; step < 100; ++step) {
+        model.run_for(200ms);
+        trials += model.count_standing(0, health::standing::trial);
+        ramps += model.count_standing(0, health::standing::ramping);
+    }
+    BOOST_TEST(trials > 0U);
+    BOOST_TEST(ramps > 0U);
+    BOOST_TEST(model.count_standing(0, health::standing::healthy) == model.m_hosts.size());
+    const auto ejections_then = model.m_tally.m_ejections;
+    model.run_for(30s);
+    BOOST_TEST(model.m_tally.m_ejections == ejections_then);
+}
+
+BOOST_AUTO_TEST_CASE(each_relapse_lengthens_the_stay)
+{
+    fleet_model model{{}, 2};
+    model.run_for(5s);
+    model.m_upstreams[0].m_sickness = {1, 1};
+    model.m_upstreams[0].m_sick_from = model.m_now;
+    model.run_for(120s);
+    std::vector<instant> on_first_host;
+    for (const auto& [when, host] : model.m_tally.m_ejected[model.m_upstreams[0].m_id.m_endpoint]) {
+        if (host == 0) {
+            on_first_host.push_back(when);
+        }
+    }
+    BOOST_TEST_REQUIRE(on_first_host.size() >= 3U);
+    for (std::size_t index = 2; index < on_first_host.size(); ++index) {
+        const auto earlier = on_first_host[index - 1] - on_first_host[index - 2];
+        BOOST_TEST((on_first_host[index] - on_first_host[index - 1] > earlier));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stay_is_bounded_and_old_ejections_are_forgotten)
+{
+    health::standing_record record;
+    instant now{1h};
+    for (int round = 0; round < 40; ++round) {
+        health::eject(record, now);
+    }
+    BOOST_TEST((record.m_stay == 5min));
+    now += record.m_stay;
+    BOOST_TEST((health::advance(record, now) == health::standing_change::trial_began));
+    health::note_trial_answers(record, 5, 0, now);
+    BOOST_TEST((record.m_standing == health::standing::ramping));
+    for (int minute = 0; minute < 90; ++minute) {
+        now += 1min;
+        health::advance(record, now);
+    }
+    BOOST_TEST(record.m_ejections == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_data_centre_taken_out_gets_nothing_and_returns_by_ramp_without_a_refusal)
+{
+    fleet_shape shape;
+    shape.m_requests_per_second = 400;
+    shape.m_ordinary_failures = 0;
+    fleet_model model{shape, 3};
+    model.run_for(5s);
+    model.m_rules.m_datacentres_out = {"dc-0"};
+    model.apply_rules();
+    model.run_for(3s);
+    const auto at_three_seconds = model.m_tally.m_started;
+    model.run_for(10s);
+    for (const std::size_t index : {0, 3, 6, 9}) {
+        BOOST_TEST(model.m_tally.m_started[index] == at_three_seconds[index]);
+    }
+    model.m_rules.m_datacentres_out.clear();
+    model.apply_rules();
+    const auto before = model.m_tally.m_started;
+    model.run_for(1s);
+    BOOST_TEST(model.m_tally.m_started[0] > before[0]);
+    BOOST_TEST(model.m_tally.m_started[0] - before[0] <
+               (model.m_tally.m_started[1] - before[1]) / 2);
+    model.run_for(20s);
+    BOOST_TEST(model.m_tally.m_refused == 0U);
+    BOOST_TEST(model.m_tally.m_ejections == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
