libdocument: Edit keys and data centres in place and list what changed

Operators' commands change one line of a document that people keep with comments. An edit changes the document as data, proposes new text by touching only the lines of the list concerned, and parses the proposal: if it does not say exactly what was wanted, the canonical form replaces the whole text, and the result says that comments were lost.

Editing through yaml-cpp's emitter was ruled out, since it drops all comments. diff_documents lists typed changes with a line each.

Tested on block and flow lists, lists that are absent or become empty, and by properties over any document, 2,000 times each with sanitizers.

--- /dev/null
+++ b/libraries/libdocument/diff_documents.cpp
@@ -0,0 +1,251 @@
+#include "libdocument/diff_documents.h"
+
+#include "libdocument/format_document.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <unordered_map>
+
+namespace chivevane {
+
+namespace {
+
+using change_list = std::vector<document_change>;
+
+/// The things of both documents that belong together by name; either may be absent.
+template <typename Thing>
+struct pair_of_things {
+    const Thing* m_before = nullptr;
+    const Thing* m_after = nullptr;
+};
+
+template <typename Thing>
+std::vector<pair_of_things<Thing>> match_by_name(const std::vector<Thing>& before,
+                                                 const std::vector<Thing>& after)
+{
+    std::unordered_map<std::string_view, std::size_t> places;
+    std::vector<pair_of_things<Thing>> pairs;
+    for (const auto& thing : before) {
+        places[thing.m_name] = pairs.size();
+        pairs.push_back({&thing, nullptr});
+    }
+    for (const auto& thing : after) {
+        if (const auto known = places.find(thing.m_name); known != places.end()) {
+            pairs[known->second].m_after = &thing;
+        }
+        else {
+            pairs.push_back({nullptr, &thing});
+        }
+    }
+    return pairs;
+}
+
+/// Adds a change of one field unless it is the same before and after.
+void compare(change_list& changes, change_subject subject, const std::string& name,
+             std::string_view field, const std::string& before, const std::string& after)
+{
+    if (before != after) {
+        changes.push_back({change_kind::changed, subject, name, std::string{field}, before, after});
+    }
+}
+
+void compare(change_list& changes, change_subject subject, const std::string& name,
+             std::string_view field, double before, double after)
+{
+    compare(changes, subject, name, field, fmt::format("{}", before), fmt::format("{}", after));
+}
+
+/// Adds the coming or going of a whole thing.
+void add_whole(change_list& changes, change_subject subject, const std::string& name,
+               const std::string& before, const std::string& after)
+{
+    const auto kind = before.empty() ? change_kind::added : change_kind::removed;
+    changes.push_back({kind, subject, name, "", before, after});
+}
+
+std::string summary_of(const organisation* owner)
+{
+    return owner == nullptr ? ""
+                            : fmt::format("{{rate: {}, burst: {}}}", owner->m_rate, owner->m_burst);
+}
+
+std::string summary_of(const service_policy* service)
+{
+    return service == nullptr ? "" : fmt::format("{{floor: {}}}", service->m_floor);
+}
+
+std::string summary_of(const route* entry)
+{
+    return entry == nullptr ? "" : format_route(*entry);
+}
+
+void diff_keys(change_list& changes, const std::string& owner, const std::vector<api_key>& before,
+               const std::vector<api_key>& after)
+{
+    for (const auto& [old_key, new_key] : match_by_name(before, after)) {
+        const auto name =
+            fmt::format("{}/{}", owner, (old_key == nullptr ? new_key : old_key)->m_name);
+        if (old_key == nullptr || new_key == nullptr) {
+            add_whole(changes, change_subject::key, name,
+                      old_key == nullptr ? "" : old_key->m_digest,
+                      new_key == nullptr ? "" : new_key->m_digest);
+            continue;
+        }
+        compare(changes, change_subject::key, name, "digest", old_key->m_digest, new_key->m_digest);
+    }
+}
+
+void diff_organisations(change_list& changes, const document& before, const document& after)
+{
+    const std::vector<api_key> none;
+    for (const auto& [old_one, new_one] :
+         match_by_name(before.m_organisations, after.m_organisations)) {
+        const auto& name = (old_one == nullptr ? new_one : old_one)->m_name;
+        if (old_one == nullptr || new_one == nullptr) {
+            add_whole(changes, change_subject::organisation, name, summary_of(old_one),
+                      summary_of(new_one));
+        }
+        else {
+            compare(changes, change_subject::organisation, name, "rate", old_one->m_rate,
+                    new_one->m_rate);
+            compare(changes, change_subject::organisation, name, "burst", old_one->m_burst,
+                    new_one->m_burst);
+        }
+        diff_keys(changes, name, old_one == nullptr ? none : old_one->m_keys,
+                  new_one == nullptr ? none : new_one->m_keys);
+    }
+}
+
+void diff_services(change_list& changes, const document& before, const document& after)
+{
+    for (const auto& [old_one, new_one] : match_by_name(before.m_services, after.m_services)) {
+        const auto& name = (old_one == nullptr ? new_one : old_one)->m_name;
+        if (old_one == nullptr || new_one == nullptr) {
+            add_whole(changes, change_subject::service, name, summary_of(old_one),
+                      summary_of(new_one));
+            continue;
+        }
+        compare(changes, change_subject::service, name, "floor", old_one->m_floor,
+                new_one->m_floor);
+    }
+}
+
+std::string join_methods(const route& entry)
+{
+    auto methods = entry.m_methods;
+    std::sort(methods.begin(), methods.end());
+    return methods.empty() ? "all" : fmt::format("{}", fmt::join(methods, " "));
+}
+
+void diff_route(change_list& changes, const route& before, const route& after)
+{
+    constexpr auto subject = change_subject::route;
+    const auto& name = before.m_name;
+    const auto flag = [](bool is_set) { return std::string{is_set ? "true" : "false"}; };
+    compare(changes, subject, name, "host", before.m_host, after.m_host);
+    compare(changes, subject, name, "path_prefix", before.m_path_prefix, after.m_path_prefix);
+    compare(changes, subject, name, "methods", join_methods(before), join_methods(after));
+    compare(changes, subject, name, "service", before.m_service, after.m_service);
+    compare(changes, subject, name, "open_to_all",
+            flag(before.m_access == route_access::open_to_all),
+            flag(after.m_access == route_access::open_to_all));
+    compare(changes, subject, name, "timeout_ms", std::to_string(to_milliseconds(before.m_timeout)),
+            std::to_string(to_milliseconds(after.m_timeout)));
+    compare(changes, subject, name, "attempts", std::to_string(before.m_attempts),
+            std::to_string(after.m_attempts));
+    compare(changes, subject, name, "hedging", flag(before.m_hedging == hedging::on),
+            flag(after.m_hedging == hedging::on));
+}
+
+void diff_routes(change_list& changes, const document& before, const document& after)
+{
+    for (const auto& [old_one, new_one] : match_by_name(before.m_routes, after.m_routes)) {
+        if (old_one == nullptr || new_one == nullptr) {
+            add_whole(changes, change_subject::route,
+                      (old_one == nullptr ? new_one : old_one)->m_name, summary_of(old_one),
+                      summary_of(new_one));
+            continue;
+        }
+        diff_route(changes, *old_one, *new_one);
+    }
+}
+
+void diff_datacentres(change_list& changes, const document& before, const document& after)
+{
+    const auto lacks = [](const document& rules, const std::string& name) {
+        const auto& out = rules.m_datacentres_out;
+        return std::find(out.begin(), out.end(), name) == out.end();
+    };
+    for (const auto& name : before.m_datacentres_out) {
+        if (lacks(after, name)) {
+            add_whole(changes, change_subject::datacentre, name, "out", "");
+        }
+    }
+    for (const auto& name : after.m_datacentres_out) {
+        if (lacks(before, name)) {
+            add_whole(changes, change_subject::datacentre, name, "", "out");
+        }
+    }
+}
+
+} // namespace
+
+std::string_view to_string(change_kind kind)
+{
+    switch (kind) {
+    case change_kind::added:
+        return "added";
+    case change_kind::removed:
+        return "removed";
+    case change_kind::changed:
+        return "changed";
+    }
+    return "invalid";
+}
+
+std::string_view to_string(change_subject subject)
+{
+    switch (subject) {
+    case change_subject::document:
+        return "document";
+    case change_subject::organisation:
+        return "organisation";
+    case change_subject::key:
+        return "key";
+    case change_subject::service:
+        return "service";
+    case change_subject::route:
+        return "route";
+    case change_subject::datacentre:
+        return "datacentre";
+    }
+    return "invalid";
+}
+
+std::vector<document_change> diff_documents(const document& before, const document& after)
+{
+    change_list changes;
+    compare(changes, change_subject::document, before.m_name, "name", before.m_name, after.m_name);
+    diff_organisations(changes, before, after);
+    diff_services(changes, before, after);
+    diff_routes(changes, before, after);
+    diff_datacentres(changes, before, after);
+    return changes;
+}
+
+std::string to_line(const document_change& change)
+{
+    auto what = fmt::format("{} {}", to_string(change.m_subject), change.m_name);
+    switch (change.m_kind) {
+    case change_kind::added:
+        return fmt::format("+ {}: {}", what, change.m_after);
+    case change_kind::removed:
+        return fmt::format("- {}: {}", what, change.m_before);
+    case change_kind::changed:
+        return fmt::format("~ {} {}: {} -> {}", what, change.m_field, change.m_before,
+                           change.m_after);
+    }
+    return what;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libdocument/edit_document.cpp
@@ -0,0 +1,185 @@
+#include "libdocument/edit_document.h"
+
+#include "libdocument/edit_text.h"
+#include "libdocument/format_document.h"
+#include "libdocument/parse_document.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <optional>
+
+namespace chivevane {
+
+namespace {
+
+/// A document under edit: its text, the tree with the places, and what it says.
+struct opened_document {
+    std::string_view m_text;
+    yaml_node m_root;
+    document m_rules;
+};
+
+result<opened_document> open_document(std::string_view text)
+{
+    auto rules = parse_document(text);
+    if (is_error(rules)) {
+        return error_of(rules);
+    }
+    auto root = parse_yaml(text, {max_document_size});
+    if (is_error(root)) {
+        return error_of(root);
+    }
+    return opened_document{text, value_of(std::move(root)), value_of(std::move(rules))};
+}
+
+/// Takes the `proposal` if it says what `wanted` says, else the canonical form of `wanted`. Either
+/// must be a valid document.
+result<edited_document> finish_edit(const document& wanted, std::optional<std::string> proposal)
+{
+    if (proposal) {
+        const auto parsed = parse_document(*proposal);
+        if (!is_error(parsed) && value_of(parsed) == wanted) {
+            return edited_document{std::move(*proposal), edit_extent::in_place};
+        }
+    }
+    auto canonical = format_document(wanted);
+    if (const auto parsed = parse_document(canonical); is_error(parsed)) {
+        return error_of(parsed);
+    }
+    return edited_document{std::move(canonical), edit_extent::whole_document};
+}
+
+template <typename Thing>
+std::optional<std::size_t> find_by_name(const std::vector<Thing>& things, std::string_view name)
+{
+    const auto found = std::find_if(things.begin(), things.end(),
+                                    [&](const Thing& thing) { return thing.m_name == name; });
+    if (found == things.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - things.begin());
+}
+
+error no_organisation(const document& rules, std::string_view name)
+{
+    return {error_kind::not_found, fmt::format("{} has no organisation `{}`.", rules.m_name, name),
+            "Correct the name, or add the organisation to the document first."};
+}
+
+const yaml_node& organisation_node(const yaml_node& root, std::size_t index)
+{
+    return find_yaml_field(root, "organisations")->m_value.m_items.at(index);
+}
+
+std::optional<std::size_t> find_datacentre(const document& rules, std::string_view datacentre)
+{
+    const auto& out = rules.m_datacentres_out;
+    const auto found = std::find(out.begin(), out.end(), datacentre);
+    if (found == out.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - out.begin());
+}
+
+bool has_digest(const document& rules, std::string_view digest)
+{
+    return std::any_of(
+        rules.m_organisations.begin(), rules.m_organisations.end(), [&](const organisation& owner) {
+            return std::any_of(owner.m_keys.begin(), owner.m_keys.end(),
+                               [&](const api_key& key) { return key.m_digest == digest; });
+        });
+}
+
+} // namespace
+
+result<edited_document> add_key(std::string_view text, std::string_view organisation_name,
+                                const api_key& key)
+{
+    const auto opened = open_document(text);
+    if (is_error(opened)) {
+        return error_of(opened);
+    }
+    const auto& [old_text, root, rules] = value_of(opened);
+    const auto owner = find_by_name(rules.m_organisations, organisation_name);
+    if (!owner) {
+        return no_organisation(rules, organisation_name);
+    }
+    if (find_by_name(rules.m_organisations[*owner].m_keys, key.m_name) ||
+        has_digest(rules, key.m_digest)) {
+        return error{error_kind::duplicate,
+                     fmt::format("The name or the digest of the key `{}` is taken.", key.m_name),
+                     "Choose another name, or withdraw the old key first."};
+    }
+    auto wanted = rules;
+    auto& keys = wanted.m_organisations[*owner].m_keys;
+    const auto& node = organisation_node(root, *owner);
+    const auto* const list = find_yaml_field(node, "keys");
+    // Flow lists take new items at their beginning, where the bracket is known to stand.
+    const bool goes_first = list != nullptr && list->m_value.m_style == yaml_style::flow;
+    keys.insert(goes_first ? keys.begin() : keys.end(), key);
+    return finish_edit(wanted, insert_list_item(old_text, node, "keys", format_key(key)));
+}
+
+result<edited_document> withdraw_key(std::string_view text, std::string_view organisation_name,
+                                     std::string_view key_name)
+{
+    const auto opened = open_document(text);
+    if (is_error(opened)) {
+        return error_of(opened);
+    }
+    const auto& [old_text, root, rules] = value_of(opened);
+    const auto owner = find_by_name(rules.m_organisations, organisation_name);
+    if (!owner) {
+        return no_organisation(rules, organisation_name);
+    }
+    const auto key = find_by_name(rules.m_organisations[*owner].m_keys, key_name);
+    if (!key) {
+        return error{error_kind::not_found,
+                     fmt::format("{} has no key `{}`.", organisation_name, key_name),
+                     "Correct the name; the key may have been withdrawn already."};
+    }
+    auto wanted = rules;
+    auto& keys = wanted.m_organisations[*owner].m_keys;
+    keys.erase(keys.begin() + static_cast<std::ptrdiff_t>(*key));
+    const auto& list = find_yaml_field(organisation_node(root, *owner), "keys")->m_value;
+    return finish_edit(wanted, remove_list_item(old_text, list, *key));
+}
+
+result<edited_document> take_datacentre_out(std::string_view text, std::string_view datacentre)
+{
+    const auto opened = open_document(text);
+    if (is_error(opened)) {
+        return error_of(opened);
+    }
+    const auto& [old_text, root, rules] = value_of(opened);
+    if (find_datacentre(rules, datacentre)) {
+        return edited_document{std::string{text}, edit_extent::nothing};
+    }
+    auto wanted = rules;
+    auto& out = wanted.m_datacentres_out;
+    const auto* const list = find_yaml_field(root, "datacentres_out");
+    const bool goes_first = list != nullptr && list->m_value.m_style == yaml_style::flow;
+    out.emplace(goes_first ? out.begin() : out.end(), datacentre);
+    const auto item = format_scalar(std::string{datacentre});
+    return finish_edit(wanted, insert_list_item(old_text, root, "datacentres_out", item));
+}
+
+result<edited_document> bring_datacentre_in(std::string_view text, std::string_view datacentre)
+{
+    const auto opened = open_document(text);
+    if (is_error(opened)) {
+        return error_of(opened);
+    }
+    const auto& [old_text, root, rules] = value_of(opened);
+    const auto place = find_datacentre(rules, datacentre);
+    if (!place) {
+        return edited_document{std::string{text}, edit_extent::nothing};
+    }
+    auto wanted = rules;
+    auto& out = wanted.m_datacentres_out;
+    out.erase(out.begin() + static_cast<std::ptrdiff_t>(*place));
+    const auto& list = find_yaml_field(root, "datacentres_out")->m_value;
+    return finish_edit(wanted, remove_list_item(old_text, list, *place));
+}
+
+} // namespace chivevane
