libadmin: Answer the administration API from pure functions

The listener had one function that knew GET and PUT of documents, accepted a write without a condition and ignored If-None-Match, so that a new document could replace one that its writer had never seen.

libadmin reads a request into a typed command or a problem, and answers it from the state, the time line and the shell's counters: documents with ETag and edit id, writes that need If-Match or If-None-Match and carry an edit id, a dry run with the list of changes, rollout, hosts, upstreams, organisations, the time line, and metrics in Prometheus' text format with latencies in Boost.Histogram. Refusals are RFC 9457 problem documents; an invalid document comes back with all its faults. The operator token is compared by digest in constant time on every resource.

The time line moves to libadmin, since the API shows it. libhost calls the new function, counts answers, aborts, latencies, store failures, processor time and memory, and takes whole documents on the administration port whatever the limit for callers' bodies is.

Rollout knows a peer's revision only when its digest of all documents equals this host's own; otherwise it says null.

--- /dev/null
+++ b/libraries/libadmin/admin_view.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "libadmin/host_counters.h"
+#include "libadmin/timeline.h"
+#include "libpolicy/node_state.h"
+
+#include <string_view>
+
+namespace chivevane {
+
+/// What the administration API shows and checks against.
+struct admin_view {
+    const node_state& m_node;
+    const timeline& m_timeline;
+    const host_counters& m_counters;
+    std::string_view m_operator_token;
+    instant m_now;
+};
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libadmin/answer_admin_request.cpp
@@ -0,0 +1,179 @@
+#include "libadmin/answer_admin_request.h"
+
+#include "libadmin/admin_problem.h"
+#include "libadmin/metrics_text.h"
+#include "libadmin/parse_admin_request.h"
+#include "libadmin/resource_json.h"
+#include "libbase/digest.h"
+#include "libbase/result.h"
+#include "libdocument/parse_document.h"
+
+#include <fmt/format.h>
+
+namespace chivevane {
+
+namespace {
+
+respond answer_with(const admin_request& request, const json_value& body)
+{
+    return {request.m_exchange, {200, {{"Content-Type", "application/json"}}}, to_text(body)};
+}
+
+respond refuse(const admin_request& request, const admin_problem& problem)
+{
+    return make_problem(request.m_exchange, problem);
+}
+
+/// Compares digests, so that neither content nor length of the token shows in the time taken.
+bool has_token(const request_head& head, std::string_view token)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto given = find_field(head.m_fields, "Authorization").value_or("");
+    const bool has_scheme =
+        given.size() > scheme.size() && equal_ignoring_case(given.substr(0, scheme.size()), scheme);
+    return has_scheme && !token.empty() &&
+           equal_in_constant_time(sha256_hex(given.substr(scheme.size())), sha256_hex(token));
+}
+
+const document_in_force* find_document(const admin_view& view, std::string_view name)
+{
+    const auto& documents = view.m_node.m_configuration.m_documents;
+    const auto found = documents.find(name);
+    return found == documents.end() ? nullptr : &found->second;
+}
+
+/// The document in `request`, or the problem that lists all its faults.
+std::variant<document, admin_problem> read_body(const admin_request& request,
+                                                const std::string& name)
+{
+    auto parsed = parse_document_fully(request.m_body);
+    if (auto* const faults = std::get_if<std::vector<error>>(&parsed)) {
+        return admin_problem{admin_problem_kind::invalid_document, "", std::move(*faults)};
+    }
+    auto& rules = *std::get_if<document>(&parsed);
+    if (rules.m_name != name) {
+        const error fault{
+            error_kind::out_of_range,
+            fmt::format("document: the text says `{}`, the path `{}`.", rules.m_name, name),
+            "Send the document to the path of its own name."};
+        return admin_problem{admin_problem_kind::invalid_document, "", {fault}};
+    }
+    return std::move(rules);
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request, const list_documents&)
+{
+    return answer_with(request, documents_json(view));
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const read_document& command)
+{
+    const auto* const held = find_document(view, command.m_name);
+    if (held == nullptr) {
+        return refuse(request, {admin_problem_kind::no_document});
+    }
+    const auto& stored = held->m_stored;
+    return respond{request.m_exchange,
+                   {200,
+                    {{"Content-Type", "application/yaml"},
+                     {"ETag", fmt::format("\"{}\"", stored.m_revision)},
+                     {"X-Edit-Id", stored.m_edit_id}}},
+                   stored.m_text};
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const write_document& command)
+{
+    auto read = read_body(request, command.m_name);
+    if (const auto* const problem = std::get_if<admin_problem>(&read)) {
+        return refuse(request, *problem);
+    }
+    if (command.m_condition == write_condition::must_exist &&
+        find_document(view, command.m_name) == nullptr) {
+        return refuse(request,
+                      {admin_problem_kind::revision_conflict, "There is no such document yet."});
+    }
+    document_submitted submission;
+    submission.m_exchange = request.m_exchange;
+    submission.m_name = command.m_name;
+    submission.m_text = request.m_body;
+    submission.m_edit_id = command.m_edit_id.empty() ? request.m_fresh_edit_id : command.m_edit_id;
+    if (command.m_condition != write_condition::must_exist) {
+        submission.m_expected_revision = command.m_revision;
+    }
+    return submission;
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const check_document& command)
+{
+    auto read = read_body(request, command.m_name);
+    if (const auto* const problem = std::get_if<admin_problem>(&read)) {
+        return refuse(request, *problem);
+    }
+    const auto* const held = find_document(view, command.m_name);
+    const document nothing{command.m_name};
+    const auto changes =
+        diff_documents(held == nullptr ? nothing : *held->m_rules, std::get<document>(read));
+    return answer_with(
+        request, json_value{{"valid", true},
+                            {"against_revision", held == nullptr ? 0 : held->m_stored.m_revision},
+                            {"changes", changes_json(changes)}});
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const read_rollout& command)
+{
+    const auto* const held = find_document(view, command.m_name);
+    if (held == nullptr) {
+        return refuse(request, {admin_problem_kind::no_document});
+    }
+    return answer_with(request, rollout_json(view, *held));
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request, const list_hosts&)
+{
+    return answer_with(request, hosts_json(view));
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request, const list_upstreams&)
+{
+    return answer_with(request, upstreams_json(view));
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const list_organisations& command)
+{
+    return answer_with(request, organisations_json(view, command));
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const read_timeline& command)
+{
+    return answer_with(request, timeline_json(view, command));
+}
+
+admin_decision answer(const admin_view& view, const admin_request& request, const read_metrics&)
+{
+    return respond{request.m_exchange,
+                   {200, {{"Content-Type", "text/plain; version=0.0.4"}}},
+                   format_metrics(view)};
+}
+
+} // namespace
+
+admin_decision answer_admin_request(const admin_view& view, const admin_request& request)
+{
+    if (!has_token(request.m_head, view.m_operator_token)) {
+        return refuse(request, {admin_problem_kind::token_refused});
+    }
+    const auto parsed = parse_admin_request(request.m_head);
+    if (const auto* const problem = std::get_if<admin_problem>(&parsed)) {
+        return refuse(request, *problem);
+    }
+    return std::visit([&](const auto& command) { return answer(view, request, command); },
+                      *std::get_if<admin_command>(&parsed));
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libadmin/metrics_text.cpp
@@ -0,0 +1,166 @@
+#include "libadmin/metrics_text.h"
+
+#include "libpolicy/configuration/configuration.h"
+#include "libpolicy/health/health.h"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace chivevane {
+
+namespace {
+
+/// Writes metrics in Prometheus' text format.
+class metrics_writer {
+public:
+    /// Begins a metric; its samples follow.
+    void begin(std::string_view name, std::string_view type, std::string_view help)
+    {
+        m_name = name;
+        fmt::format_to(std::back_inserter(m_text),
+                       "# HELP chivevane_{0} {1}\n# TYPE chivevane_{0} {2}\n", name, help, type);
+    }
+
+    /// `labels` are ready for the braces; names of documents and settings need no escapes.
+    void sample(std::string_view labels, double value, std::string_view suffix = "")
+    {
+        const auto braces = labels.empty() ? std::string{} : fmt::format("{{{}}}", labels);
+        fmt::format_to(std::back_inserter(m_text), "chivevane_{}{}{} {}\n", m_name, suffix, braces,
+                       value);
+    }
+
+    void single(std::string_view name, std::string_view type, std::string_view help, double value)
+    {
+        begin(name, type, help);
+        sample("", value);
+    }
+
+    std::string take_text() { return std::move(m_text); }
+
+private:
+    std::string m_name;
+    std::string m_text;
+};
+
+void write_latency(metrics_writer& writer, const latency_histogram& latency)
+{
+    writer.begin("caller_latency_seconds", "histogram",
+                 "Time from a caller's whole request to the end of its answer.");
+    const auto& buckets = latency.buckets();
+    const auto& axis = buckets.axis();
+    double total = buckets.at(-1);
+    for (int place = 0; place < axis.size(); ++place) {
+        total += buckets.at(place);
+        writer.sample(fmt::format("le=\"{:.4g}\"", axis.bin(place).upper()), total, "_bucket");
+    }
+    total += buckets.at(axis.size());
+    writer.sample("le=\"+Inf\"", total, "_bucket");
+    writer.sample("", latency.sum_seconds(), "_sum");
+    writer.sample("", total, "_count");
+}
+
+void write_counters(metrics_writer& writer, const host_counters& counters)
+{
+    writer.begin("caller_answers_total", "counter", "Answers to callers by HTTP status.");
+    for (const auto& [status, count] : counters.m_caller_answers) {
+        writer.sample(fmt::format("status=\"{}\"", status), static_cast<double>(count));
+    }
+    write_latency(writer, counters.m_caller_latency);
+    const auto count = [&writer](std::string_view name, std::string_view help,
+                                 std::uint64_t value) {
+        writer.single(name, "counter", help, static_cast<double>(value));
+    };
+    count("caller_aborts_total", "Answers cut off because they could not be completed.",
+          counters.m_caller_aborts);
+    count("datagrams_received_total", "Authentic datagrams from other hosts.",
+          counters.m_datagrams_received);
+    count("datagrams_refused_total", "Datagrams that were forged, malformed or too large.",
+          counters.m_datagrams_refused);
+    count("datagrams_sent_total", "Datagrams to other hosts.", counters.m_datagrams_sent);
+    count("datagram_bytes_sent_total", "Bytes of datagrams to other hosts.",
+          counters.m_datagram_bytes_sent);
+    count("store_calls_total", "Calls on the platform's store.", counters.m_store_calls);
+    count("store_failures_total", "Calls on the store without a usable answer.",
+          counters.m_store_failures);
+    writer.single("processor_seconds_total", "counter", "Processor time of the process.",
+                  counters.m_processor_seconds);
+    writer.single("resident_bytes", "gauge", "Memory of the process.",
+                  static_cast<double>(counters.m_resident_bytes));
+}
+
+void write_configuration(metrics_writer& writer, const admin_view& view)
+{
+    const auto& configuration = view.m_node.m_configuration;
+    writer.single("may_serve", "gauge", "1 if the documents in force are known to be current.",
+                  configuration::may_serve(configuration, view.m_now) ? 1 : 0);
+    writer.begin("document_revision", "gauge", "Revision in force on this host.");
+    for (const auto& [name, held] : configuration.m_documents) {
+        writer.sample(fmt::format("document=\"{}\"", name),
+                      static_cast<double>(held.m_stored.m_revision));
+    }
+}
+
+void write_members(metrics_writer& writer, const membership_state& membership)
+{
+    constexpr std::array<std::string_view, 4> names{"alive", "suspect", "leaving", "dead"};
+    std::array<double, names.size()> counts{};
+    for (const auto& [name, peer] : membership.m_members) {
+        counts.at(static_cast<std::size_t>(peer.m_status)) += 1;
+    }
+    writer.begin("members", "gauge", "Hosts that this host knows, by status.");
+    for (std::size_t place = 0; place < names.size(); ++place) {
+        writer.sample(fmt::format("status=\"{}\"", names.at(place)), counts.at(place));
+    }
+}
+
+/// One metric with a sample for each upstream of the fleet.
+template <typename Value>
+void write_upstreams(metrics_writer& writer, const admin_view& view, std::string_view name,
+                     std::string_view help, Value value)
+{
+    writer.begin(name, "gauge", help);
+    for (const auto& [host, peer] : view.m_node.m_membership.m_members) {
+        for (const auto& upstream : peer.m_latest.m_upstreams) {
+            writer.sample(fmt::format("service=\"{}\",host=\"{}\",endpoint=\"{}\"",
+                                      upstream.m_service, host, upstream.m_endpoint),
+                          value(host, upstream));
+        }
+    }
+}
+
+void write_all_upstreams(metrics_writer& writer, const admin_view& view)
+{
+    write_upstreams(writer, view, "upstream_concurrency",
+                    "Requests that the gate of the upstream admits at once.",
+                    [](const std::string&, const upstream_summary& upstream) {
+                        return static_cast<double>(upstream.m_concurrency);
+                    });
+    write_upstreams(writer, view, "upstream_queued", "Requests that wait at the upstream's gate.",
+                    [](const std::string&, const upstream_summary& upstream) {
+                        return static_cast<double>(upstream.m_queued);
+                    });
+    write_upstreams(
+        writer, view, "upstream_share",
+        "Share of its fair part of the work that the upstream gets; 0 if ejected.",
+        [&view](const std::string& host, const upstream_summary& upstream) {
+            return health::verdict_on(view.m_node.m_health, {host, upstream.m_endpoint}).m_share;
+        });
+}
+
+} // namespace
+
+std::string format_metrics(const admin_view& view)
+{
+    metrics_writer writer;
+    write_counters(writer, view.m_counters);
+    write_configuration(writer, view);
+    write_members(writer, view.m_node.m_membership);
+    writer.single("requests_in_progress", "gauge", "Callers' requests that this host owns now.",
+                  static_cast<double>(view.m_node.m_ingress.m_requests.size()));
+    writer.single("attempts_in_progress", "gauge", "Attempts at the gate of this host now.",
+                  static_cast<double>(view.m_node.m_gate.m_attempts.size()));
+    write_all_upstreams(writer, view);
+    return writer.take_text();
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libadmin/metrics_text.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "libadmin/admin_view.h"
+
+#include <string>
+
+namespace chivevane {
+
+/// All metrics of this host in Prometheus' text format 0.0.4.
+std::string format_metrics(const admin_view& view);
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libadmin/resource_json.cpp
@@ -0,0 +1,236 @@
+#include "libadmin/resource_json.h"
+
+#include "libpolicy/configuration/configuration.h"
+#include "libpolicy/health/health.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace chivevane {
+
+namespace {
+
+std::string_view name_of(member_status status)
+{
+    switch (status) {
+    case member_status::alive:
+        return "alive";
+    case member_status::suspect:
+        return "suspect";
+    case member_status::leaving:
+        return "leaving";
+    case member_status::dead:
+        return "dead";
+    }
+    return "invalid";
+}
+
+std::string_view name_of(health::standing standing)
+{
+    switch (standing) {
+    case health::standing::healthy:
+        return "healthy";
+    case health::standing::trial:
+        return "trial";
+    case health::standing::ramping:
+        return "ramping";
+    case health::standing::ejected:
+        return "ejected";
+    }
+    return "invalid";
+}
+
+/// The revision that `peer` has in force, or null if this host cannot know it. Equal digests mean
+/// equal revisions of all documents.
+json_value revision_on(const admin_view& view, const member& peer, std::uint64_t own_revision)
+{
+    const auto& node = view.m_node;
+    const bool is_self = peer.m_latest.m_identity.m_name == node.m_settings.m_self.m_name;
+    const bool is_same =
+        peer.m_status != member_status::dead &&
+        peer.m_latest.m_documents_digest == configuration::digest_of(node.m_configuration);
+    return is_self || is_same ? json_value(own_revision) : json_value(nullptr);
+}
+
+json_value host_json(const admin_view& view, const member& peer)
+{
+    const auto& latest = peer.m_latest;
+    const auto& address = latest.m_address;
+    const bool is_self = latest.m_identity.m_name == view.m_node.m_settings.m_self.m_name;
+    const auto silence = is_self ? duration{} : view.m_now - peer.m_heard_at;
+    return {{"host", latest.m_identity.m_name},
+            {"incarnation", latest.m_identity.m_incarnation},
+            {"datacentre", latest.m_datacentre},
+            {"status", name_of(peer.m_status)},
+            {"silent_ms", to_milliseconds(silence)},
+            {"upstreams", latest.m_upstreams.size()},
+            {"ip", address.m_ip},
+            {"caller_port", address.m_caller_port},
+            {"gate_port", address.m_gate_port},
+            {"control_port", address.m_control_port},
+            {"admin_port", address.m_admin_port}};
+}
+
+json_value upstream_json(const admin_view& view, const member& peer,
+                         const upstream_summary& upstream)
+{
+    const auto& node = view.m_node;
+    const auto& host = peer.m_latest.m_identity.m_name;
+    const auto& datacentre = peer.m_latest.m_datacentre;
+    const auto verdict = health::verdict_on(node.m_health, {host, upstream.m_endpoint});
+    return {{"service", upstream.m_service},
+            {"host", host},
+            {"endpoint", upstream.m_endpoint},
+            {"datacentre", datacentre},
+            {"datacentre_out", configuration::is_datacentre_out(node.m_configuration,
+                                                                upstream.m_service, datacentre)},
+            {"host_status", name_of(peer.m_status)},
+            {"phase", upstream.m_phase == upstream_phase::serving ? "serving" : "draining"},
+            {"warmth", upstream.m_warmth == upstream_warmth::warm ? "warm" : "cold"},
+            {"standing", name_of(verdict.m_standing)},
+            {"share", verdict.m_share},
+            {"slots", upstream.m_slots},
+            {"concurrency", upstream.m_concurrency},
+            {"queued", upstream.m_queued}};
+}
+
+std::size_t requests_in_progress(const node_state& node, const std::string& document_name,
+                                 const std::string& organisation_name)
+{
+    const auto& requests = node.m_ingress.m_requests;
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(), [&](const auto& entry) {
+            return entry.second.m_organisation == organisation_name &&
+                   entry.second.m_rules != nullptr && entry.second.m_rules->m_name == document_name;
+        }));
+}
+
+json_value organisation_json(const node_state& node, const document& rules,
+                             const organisation& owner)
+{
+    auto keys = json_value::array();
+    for (const auto& key : owner.m_keys) {
+        keys.push_back(key.m_name);
+    }
+    return {{"document", rules.m_name},
+            {"organisation", owner.m_name},
+            {"rate", owner.m_rate},
+            {"burst", owner.m_burst},
+            {"keys", std::move(keys)},
+            {"in_progress", requests_in_progress(node, rules.m_name, owner.m_name)}};
+}
+
+json_value entry_json(const timeline_entry& entry)
+{
+    auto fields = json_value::object();
+    for (const auto& field : entry.m_fields) {
+        fields[field.m_key] = field.m_value;
+    }
+    return {{"wall_ms", entry.m_at.m_wall_ms},
+            {"counter", entry.m_at.m_counter},
+            {"host", entry.m_host},
+            {"event", entry.m_name},
+            {"fields", std::move(fields)}};
+}
+
+} // namespace
+
+json_value documents_json(const admin_view& view)
+{
+    auto list = json_value::array();
+    for (const auto& [name, held] : view.m_node.m_configuration.m_documents) {
+        list.push_back({{"name", name},
+                        {"revision", held.m_stored.m_revision},
+                        {"edit_id", held.m_stored.m_edit_id},
+                        {"organisations", held.m_rules->m_organisations.size()},
+                        {"routes", held.m_rules->m_routes.size()}});
+    }
+    return {{"documents", std::move(list)}};
+}
+
+json_value rollout_json(const admin_view& view, const document_in_force& held)
+{
+    const auto revision = held.m_stored.m_revision;
+    auto hosts = json_value::array();
+    for (const auto& [name, peer] : view.m_node.m_membership.m_members) {
+        hosts.push_back({{"host", name},
+                         {"datacentre", peer.m_latest.m_datacentre},
+                         {"status", name_of(peer.m_status)},
+                         {"revision", revision_on(view, peer, revision)}});
+    }
+    return {{"document", held.m_stored.m_name},
+            {"revision", revision},
+            {"edit_id", held.m_stored.m_edit_id},
+            {"hosts", std::move(hosts)}};
+}
+
+json_value hosts_json(const admin_view& view)
+{
+    auto list = json_value::array();
+    for (const auto& [name, peer] : view.m_node.m_membership.m_members) {
+        list.push_back(host_json(view, peer));
+    }
+    return {{"hosts", std::move(list)}};
+}
+
+json_value upstreams_json(const admin_view& view)
+{
+    auto list = json_value::array();
+    for (const auto& [name, peer] : view.m_node.m_membership.m_members) {
+        for (const auto& upstream : peer.m_latest.m_upstreams) {
+            list.push_back(upstream_json(view, peer, upstream));
+        }
+    }
+    return {{"upstreams", std::move(list)}};
+}
+
+json_value organisations_json(const admin_view& view, const list_organisations& command)
+{
+    auto list = json_value::array();
+    for (const auto& [name, held] : view.m_node.m_configuration.m_documents) {
+        if (!command.m_document.empty() && command.m_document != name) {
+            continue;
+        }
+        for (const auto& owner : held.m_rules->m_organisations) {
+            list.push_back(organisation_json(view.m_node, *held.m_rules, owner));
+        }
+    }
+    return {{"organisations", std::move(list)}};
+}
+
+json_value timeline_json(const admin_view& view, const read_timeline& command)
+{
+    const auto& entries = view.m_timeline.m_entries;
+    auto first = entries.begin();
+    if (command.m_after) {
+        first = std::find_if(entries.begin(), entries.end(), [&](const timeline_entry& entry) {
+            return entry.m_at > *command.m_after;
+        });
+    }
+    const auto available = static_cast<std::size_t>(entries.end() - first);
+    const auto count = std::min(available, command.m_limit);
+    if (!command.m_after) {
+        first = entries.end() - static_cast<std::ptrdiff_t>(count);
+    }
+    auto list = json_value::array();
+    std::transform(first, first + static_cast<std::ptrdiff_t>(count), std::back_inserter(list),
+                   entry_json);
+    return {{"entries", std::move(list)}};
+}
+
+json_value changes_json(const std::vector<document_change>& changes)
+{
+    auto list = json_value::array();
+    for (const auto& change : changes) {
+        list.push_back({{"kind", to_string(change.m_kind)},
+                        {"subject", to_string(change.m_subject)},
+                        {"name", change.m_name},
+                        {"field", change.m_field},
+                        {"before", change.m_before},
+                        {"after", change.m_after},
+                        {"line", to_line(change)}});
+    }
+    return list;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libadmin/resource_json.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "libadmin/admin_command.h"
+#include "libadmin/admin_view.h"
+#include "libadmin/json_text.h"
+#include "libdocument/diff_documents.h"
+
+#include <string_view>
+#include <vector>
+
+namespace chivevane {
+
+/// The documents in force with their revisions.
+json_value documents_json(const admin_view& view);
+
+/// Which hosts have which revision of a document in force, as far as this host knows.
+json_value rollout_json(const admin_view& view, const document_in_force& held);
+
+json_value hosts_json(const admin_view& view);
+
+json_value upstreams_json(const admin_view& view);
+
+/// The organisations with their limits and their requests in progress on this host.
+json_value organisations_json(const admin_view& view, const list_organisations& command);
+
+json_value timeline_json(const admin_view& view, const read_timeline& command);
+
+json_value changes_json(const std::vector<document_change>& changes);
+
+} // namespace chivevane
--- a/libraries/libhost/timeline.cpp
+++ b/libraries/libadmin/timeline.cpp
@@ -1,4 +1,4 @@
-#include "libhost/timeline.h"
+#include "libadmin/timeline.h"
 
 #include "libbase/log_line.h"
 
--- a/libraries/libhost/exchange_table.h
+++ b/libraries/libhost/exchange_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libbase/instant.h"
 #include "libhttp/http_server.h"
 #include "libpolicy/identifiers.h"
 
@@ -13,6 +14,8 @@
 struct held_exchange {
     http_server* m_server = nullptr;
     std::shared_ptr<const std::string> m_body;
+    instant m_received_at;
+    std::uint16_t m_status = 0; ///< Of the answer that is being relayed.
 };
 
 /// The exchanges of all listeners of this process.
--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -1,11 +1,13 @@
 #include "libhost/host_process.h"
 
+#include "libadmin/answer_admin_request.h"
 #include "libbase/digest.h"
 #include "libbase/log_line.h"
 #include "libbase/result.h"
-#include "libhost/admin_listener.h"
+#include "libdocument/parse_document.h"
 #include "libhost/announcement.h"
 #include "libhost/document_exchange.h"
+#include "libhost/process_usage.h"
 #include "libpolicy/reduce.h"
 
 #include <asio/post.hpp>
@@ -43,6 +45,13 @@
     return settings;
 }
 
+/// A whole document fits, whatever callers may send.
+http_server_options admin_options(http_server_options options)
+{
+    options.m_max_body_size = std::max(options.m_max_body_size, max_document_size);
+    return options;
+}
+
 std::uint64_t hash_of(const std::string& body)
 {
     return body.empty() ? 0 : stable_hash(body);
@@ -78,7 +87,8 @@
                      },
                      [this](exchange_id exchange) { on_gone(exchange); }},
                     m_last_exchange),
-      m_admin_server(loop, listener_options(m_settings.m_policy.m_address.m_admin_port),
+      m_admin_server(loop,
+                     admin_options(listener_options(m_settings.m_policy.m_address.m_admin_port)),
                      {[this](const received_request& request) { on_admin_request(request); },
                       [this](exchange_id exchange) { m_exchanges.erase(exchange); }},
                      m_last_exchange),
@@ -132,7 +142,7 @@
     }
     const auto hash = hash_of(*request.m_body);
     const auto size = request.m_body->size();
-    m_exchanges[request.m_exchange] = {&server, std::move(request.m_body)};
+    m_exchanges[request.m_exchange] = {&server, std::move(request.m_body), current_time()};
     enqueue(inbound_request{request.m_exchange, listener, std::move(request.m_head), size, hash});
 }
 
@@ -149,7 +159,10 @@
 
 void host_process::on_admin_request(const received_request& request)
 {
-    auto decided = decide_admin_request(request, {m_node, m_timeline, m_settings.m_operator_token});
+    const auto edit_id = random_hex(16);
+    auto decided = answer_admin_request(
+        {m_node, m_timeline, current_counters(), m_settings.m_operator_token, current_time()},
+        {request.m_exchange, request.m_head, *request.m_body, edit_id});
     if (auto* const answer = std::get_if<respond>(&decided)) {
         m_admin_server.respond(request.m_exchange, answer->m_head, std::move(answer->m_body));
         return;
@@ -237,6 +250,7 @@
 {
     if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
         node.mapped().m_server->respond(order.m_exchange, order.m_head, order.m_body);
+        count_answer(node.mapped(), order.m_head.m_status);
     }
 }
 
@@ -252,6 +266,10 @@
 
 void host_process::carry_out(const relay_transfer& order)
 {
+    if (const auto held = m_exchanges.find(order.m_exchange);
+        held != m_exchanges.end() && order.m_head) {
+        held->second.m_status = order.m_head->m_status;
+    }
     m_transfers.relay(order);
 }
 
@@ -259,6 +277,7 @@
 {
     if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
         node.mapped().m_server->finish(order.m_exchange);
+        count_answer(node.mapped(), node.mapped().m_status);
     }
 }
 
@@ -266,6 +285,9 @@
 {
     if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
         node.mapped().m_server->abort(order.m_exchange);
+        if (node.mapped().m_server == &m_caller_server) {
+            ++m_counters.m_caller_aborts;
+        }
     }
 }
 
@@ -278,6 +300,7 @@
 {
     m_store.run(order.m_operation, [this, id = order.m_operation_id,
                                     purpose = order.m_purpose](store_outcome outcome) {
+        m_counters.m_store_failures += std::holds_alternative<store_failure>(outcome) ? 1 : 0;
         enqueue(store_response{id, purpose, std::move(outcome)});
     });
 }
@@ -310,6 +333,29 @@
     m_loop.stop();
 }
 
+void host_process::count_answer(const held_exchange& ended, std::uint16_t http_status)
+{
+    if (ended.m_server == &m_caller_server) {
+        ++m_counters.m_caller_answers[http_status];
+        m_counters.m_caller_latency.record(current_time() - ended.m_received_at);
+    }
+}
+
+host_counters host_process::current_counters() const
+{
+    auto counters = m_counters;
+    const auto& control = m_control.counters();
+    counters.m_datagrams_received = control.m_received;
+    counters.m_datagrams_refused = control.m_dropped_malformed + control.m_dropped_unauthenticated;
+    counters.m_datagrams_sent = control.m_sent;
+    counters.m_datagram_bytes_sent = control.m_sent_bytes;
+    counters.m_store_calls = m_store.calls();
+    const auto usage = measure_process_usage();
+    counters.m_processor_seconds = usage.m_processor_seconds;
+    counters.m_resident_bytes = usage.m_resident_bytes;
+    return counters;
+}
+
 hybrid_time host_process::stamp()
 {
     m_clock = next_reading(m_clock, current_wall_ms());
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "libadmin/host_counters.h"
+#include "libadmin/timeline.h"
 #include "libhost/control_socket.h"
 #include "libhost/exchange_table.h"
-#include "libhost/timeline.h"
 #include "libhost/transfer_runner.h"
 #include "libhttp/http_client.h"
 #include "libhttp/http_server.h"
@@ -61,13 +62,17 @@
     void carry_out(const record_event& order);
     void carry_out(const stop_process& order);
 
+    /// Counts the end of an answer to a caller.
+    void count_answer(const held_exchange& ended, std::uint16_t http_status);
+    host_counters current_counters() const;
     hybrid_time stamp();
 
     asio::io_context& m_loop;
     node_settings m_settings;
     node_state m_node;
     timeline m_timeline;
-    hybrid_time m_clock; ///< Last reading of the hybrid clock.
+    host_counters m_counters; ///< What is counted here; see `current_counters`.
+    hybrid_time m_clock;      ///< Last reading of the hybrid clock.
     exchange_table m_exchanges;
     exchange_id m_last_exchange = 0;
     std::deque<event_body> m_events;
--- /dev/null
+++ b/tests/libadmin/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE libadmin
+#include <boost/test/unit_test.hpp>
