tests: Keep the models of two test suites apart

Cause: two suites of libpolicy's test program defined a struct of the same name, and the fuzz test built messages in their former shape. Change: the membership suites have a namespace of their own; the fuzz test builds today's messages. Before: the test program did not link.

--- a/tests/libpolicy/configuration_test.cpp
+++ b/tests/libpolicy/configuration_test.cpp
@@ -9,6 +9,7 @@
 
 using namespace chivevane;
 using namespace chivevane::test;
+using namespace chivevane::test::control;
 
 namespace {
 
--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -6,7 +6,7 @@
 
 #include <fmt/format.h>
 
-namespace chivevane::test {
+namespace chivevane::test::control {
 
 namespace {
 
@@ -252,4 +252,4 @@
     return held == documents.end() ? 0 : held->second.m_stored.m_revision;
 }
 
-} // namespace chivevane::test
+} // namespace chivevane::test::control
--- a/tests/libpolicy/fleet_fixture.h
+++ b/tests/libpolicy/fleet_fixture.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace chivevane::test {
+namespace chivevane::test::control {
 
 /// How the store behaves.
 enum class store_mode : std::uint8_t { up, away, slow };
@@ -91,4 +91,4 @@
     instant m_next_expiry;
 };
 
-} // namespace chivevane::test
+} // namespace chivevane::test::control
--- a/tests/libwire/datagram_fuzz_test.cpp
+++ b/tests/libwire/datagram_fuzz_test.cpp
@@ -60,11 +60,11 @@
     case 1:
         return document_revisions{{{name(), number(), number()}, {name(), number()}}, number()};
     case 2:
-        return loan_request{number(), name(), 1.5};
+        return loan_request{number(), name(), number(), number(), 1.5, 2.5};
     case 3:
         return void_response{attempt, number(), attempt_fate::may_run};
     case 4:
-        return crash_report{number(), name(), name(), number()};
+        return crash_report{number(), name(), crash_evidence::withdrawn};
     case 5:
         return health_report{number(), {{{name(), name()}, name(), name(), number()}}};
     case 6:
