libpolicy: Refuse ambiguous heads and outdated judgements

Heads with two readings (no or two Hosts, blanks in field names, folded or NUL-bearing values, two lengths, length with a transfer coding, a second key) reached routing where the parser in front let them pass. A gate also ran what an ingress had judged by rules that were replaced long ago, so that a host cut off from news went on accepting a withdrawn key.

A gate refuses, not run, what was judged by a revision that it saw replaced at least 3 s ago.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -75,6 +75,10 @@
         refuse_attempt(node, surroundings, link.m_attempt, refusal_kind::leaving);
         return;
     }
+    if (is_outdated(state.m_revisions, link.m_document, link.m_revision, surroundings.m_now)) {
+        refuse_attempt(node, surroundings, link.m_attempt, refusal_kind::not_ready);
+        return;
+    }
     admit(node, surroundings, link.m_attempt);
 }
 
@@ -281,6 +285,7 @@
 
 void on_timer(node_state& node, context& surroundings)
 {
+    note_revisions(node.m_gate.m_revisions, node.m_configuration, surroundings.m_now);
     check_due(node, surroundings);
     for (const auto& expired : admission::take_expired(node.m_admission, surroundings.m_now)) {
         refuse_attempt(node, surroundings, expired.m_attempt, refusal_kind::deadline_exceeded);
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -2,6 +2,7 @@
 
 #include "libbase/instant.h"
 #include "libpolicy/gate/gate_events.h"
+#include "libpolicy/gate/known_revisions.h"
 #include "libpolicy/gate/quarantine.h"
 #include "libpolicy/gate/tombstones.h"
 #include "libpolicy/identifiers.h"
@@ -81,6 +82,7 @@
     std::unordered_map<exchange_id, attempt_id> m_by_exchange;
     std::unordered_map<transfer_id, attempt_id> m_by_transfer;
     quarantine_state m_quarantine;
+    known_revisions m_revisions;
     std::deque<crash_announcement> m_announcements;
     bool m_is_leaving = false;
 };
--- /dev/null
+++ b/libraries/libpolicy/gate/known_revisions.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "libbase/instant.h"
+#include "libpolicy/configuration/configuration_state.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace chivevane {
+
+/// The newest revision of a document that a gate has seen in force.
+struct known_revision {
+    std::uint64_t m_revision = 0;
+    instant m_since; ///< When the gate noticed it.
+};
+
+using known_revisions = std::map<std::string, known_revision, std::less<>>; ///< By document.
+
+} // namespace chivevane
+
+namespace chivevane::gate {
+
+/// Notices the revisions in force on this host.
+void note_revisions(known_revisions& known, const configuration_state& configuration, instant now);
+
+/// Whether a request was judged by rules that every host should have replaced by now: its key may
+/// have been withdrawn since.
+bool is_outdated(const known_revisions& known, std::string_view document, std::uint64_t revision,
+                 instant now);
+
+} // namespace chivevane::gate
--- a/libraries/libpolicy/ingress/caller_request.cpp
+++ b/libraries/libpolicy/ingress/caller_request.cpp
@@ -3,6 +3,7 @@
 #include "libbase/digest.h"
 #include "libdocument/match_route.h"
 #include "libpolicy/configuration/configuration.h"
+#include "libpolicy/ingress/request_shape.h"
 
 #include <algorithm>
 #include <charconv>
@@ -15,25 +16,6 @@
 
 constexpr std::string_view bearer_scheme = "Bearer ";
 
-std::size_t count_fields(const request_head& head, std::string_view name)
-{
-    return static_cast<std::size_t>(
-        std::count_if(head.m_fields.begin(), head.m_fields.end(), [name](const http_field& field) {
-            return equal_ignoring_case(field.m_name, name);
-        }));
-}
-
-/// Whether the head is one that only one reading exists of (RFC 9112 sections 3.2 and 11.2).
-bool is_well_formed(const request_head& head)
-{
-    const bool has_control_character =
-        std::any_of(head.m_target.begin(), head.m_target.end(),
-                    [](unsigned char character) { return character <= ' ' || character == 0x7f; });
-    return count_fields(head, "Host") == 1 && head.m_target.starts_with('/') &&
-           !has_control_character && count_fields(head, "Authorization") <= 1 &&
-           count_fields(head, "X-Api-Key") <= 1;
-}
-
 std::optional<std::string_view> key_of(const request_head& head)
 {
     if (const auto field = find_field(head.m_fields, "Authorization")) {
--- /dev/null
+++ b/tests/libpolicy/fate_scenarios_test.cpp
@@ -0,0 +1,304 @@
+#include "libbase/digest.h"
+#include "libpolicy/fleet_harness.h"
+#include "libpolicy/naive_proxy.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+namespace {
+
+using caller_end = caller_record::end;
+
+std::size_t total(const std::vector<std::size_t>& counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), std::size_t{0});
+}
+
+bool is_answered_whole(const caller_record& record)
+{
+    const auto expected = fleet::body_for(record.m_id, record.m_head.m_target);
+    return record.m_end == caller_end::whole && record.m_status == 200 &&
+           sha256_hex(record.m_body) == sha256_hex(expected);
+}
+
+/// A download that is broken off, and what becomes of it.
+struct broken_download {
+    std::string_view m_name;
+    std::string m_method = "GET";
+    std::size_t m_breaks = 1; ///< Answers that break off before one goes through.
+    std::string m_etag;       ///< Of the first answer; empty leaves the model's.
+    std::vector<http_field> m_fields;
+    bool m_is_resumed = false;
+    std::string m_rest_etag;  ///< Of the second answer; empty leaves the model's.
+    std::string m_rest_range; ///< Content-Range of the second answer, likewise.
+};
+
+std::ostream& operator<<(std::ostream& out, const broken_download& each)
+{
+    return out << each.m_name;
+}
+
+const std::vector<broken_download> broken_downloads{
+    {"broken once", "GET", 1, "", {}, true},
+    {"broken with a weak ETag", "GET", 1, "W/\"1\"", {}, false},
+    {"changed on the other upstream", "GET", 1, "\"old\"", {}, false},
+    {"not idempotent", "POST", 1, "", {}, false},
+    {"rest of another version", "GET", 1, "", {}, false, "\"new\""},
+    {"another part than was asked for", "GET", 1, "", {}, false, "", "bytes 1999-3998/4003"},
+    {"broken twice, as if it crashed upstreams", "GET", 2, "", {}, false},
+    {"a part that the caller asked for", "GET", 1, "", {{"Range", "bytes=0-"}}, false},
+};
+
+/// Sends a request again as soon as it is answered, to the hosts in turn.
+std::size_t repeat(fleet& tested, std::size_t last, std::string_view method, std::size_t hosts)
+{
+    if (tested.m_callers[last].m_end == caller_end::none) {
+        return last;
+    }
+    return tested.call((tested.m_callers[last].m_host + 1) % hosts, std::string{method}, "/killer");
+}
+
+/// Sends a request that crashes upstreams for ever among others; returns the places of the others.
+std::vector<std::size_t> run_killer(fleet& tested, std::string_view method, duration length)
+{
+    tested.m_behaviour = [](std::size_t, const request_head& head, upstream_answer answer) {
+        answer.m_crashes = head.m_target == "/killer";
+        answer.m_latency = 5ms;
+        return answer;
+    };
+    std::vector<std::size_t> others;
+    const auto begin = tested.m_now;
+    std::size_t killer = 0;
+    for (std::size_t step = 0; tested.m_now < begin + length; ++step) {
+        if (tested.m_now == begin + 3s) { // The budget has earned retries.
+            killer = tested.call(0, std::string{method}, "/killer");
+        }
+        if (killer != 0) {
+            killer = repeat(tested, killer, method, 3);
+        }
+        if (step % 10 == 0) {
+            others.push_back(tested.call(step % 3, "GET", step % 20 == 0 ? "/popular" : "/other"));
+        }
+        tested.run_for(2ms);
+    }
+    return others;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fate_scenarios)
+
+BOOST_DATA_TEST_CASE(a_broken_download_goes_on_or_is_cut_visibly,
+                     boost::unit_test::data::make(broken_downloads), each)
+{
+    fleet tested{1, {}};
+    std::size_t answers = 0;
+    tested.m_behaviour = [&](std::size_t, const request_head&, upstream_answer answer) {
+        if (++answers <= each.m_breaks) {
+            answer.m_breaks_after = 1000;
+            if (!each.m_etag.empty()) {
+                answer.m_head.m_fields.at(0).m_value = each.m_etag;
+            }
+        }
+        else if (!each.m_rest_etag.empty()) {
+            answer.m_head.m_fields.at(0).m_value = each.m_rest_etag;
+        }
+        else if (!each.m_rest_range.empty()) {
+            answer.m_head.m_fields.at(1).m_value = each.m_rest_range;
+        }
+        return answer;
+    };
+    const auto place = tested.call(0, each.m_method, "/image", each.m_fields);
+    tested.run_for(10s);
+    const auto& record = tested.m_callers.at(place);
+    BOOST_TEST(is_answered_whole(record) == each.m_is_resumed);
+    BOOST_TEST((record.m_end == caller_end::cut) == !each.m_is_resumed);
+    BOOST_TEST(!record.m_body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_download_survives_two_connections_between_hosts_that_go_silent)
+{
+    fleet tested{1, {}};
+    for (std::size_t step = 0; step < 40; ++step) { // Earns retries.
+        tested.call(0, "GET", "/permits/" + std::to_string(step));
+        tested.run_for(10ms);
+    }
+    int silenced = 0;
+    tested.m_silence = [&](const start_transfer& order) {
+        return order.m_port == 7002 && ++silenced <= 2 ? 3 : -1;
+    };
+    const auto place = tested.call(0, "GET", "/image");
+    tested.run_for(30s);
+    BOOST_TEST(silenced == 3);
+    BOOST_TEST(is_answered_whole(tested.m_callers.at(place)));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_that_fails_whole_gets_at_most_a_tenth_more_load)
+{
+    const auto load_with = [](const decider_factory& factory,
+                              upstream_answer (*fail)(upstream_answer)) {
+        fleet tested{1, {}, 3, factory};
+        tested.m_behaviour = [fail](std::size_t, const request_head&, upstream_answer answer) {
+            return fail(std::move(answer));
+        };
+        for (std::size_t step = 0; step < 3000; ++step) {
+            tested.call(step % 3, "GET", "/permits/" + std::to_string(step));
+            tested.run_for(10ms);
+        }
+        tested.run_for(10s);
+        const auto load = static_cast<double>(tested.m_upstream_requests) / 3000;
+        BOOST_TEST_MESSAGE("load=" << load);
+        return load;
+    };
+    const auto refuse = [](upstream_answer answer) {
+        answer.m_head.m_status = 503;
+        return answer;
+    };
+    const auto break_off = [](upstream_answer answer) {
+        answer.m_breaks_after = 0;
+        return answer;
+    };
+    const auto be_slow = [](upstream_answer answer) {
+        answer.m_latency = 150ms;
+        return answer;
+    };
+    BOOST_TEST(load_with(make_decider, refuse) <= 1.1);
+    BOOST_TEST(load_with(make_decider, break_off) <= 1.1);
+    BOOST_TEST(load_with(make_impatient_decider, be_slow) <= 1.1);
+    BOOST_TEST(load_with(make_naive_decider, break_off) > 1.1);
+}
+
+BOOST_DATA_TEST_CASE(a_request_that_crashes_upstreams_crashes_two_at_most,
+                     boost::unit_test::data::make({"GET", "POST"}) *
+                         boost::unit_test::data::make({0.0, 0.3}),
+                     method, loss)
+{
+    fleet tested{1, {}};
+    tested.m_faults.m_datagram_loss = loss;
+    const auto others = run_killer(tested, method, 40s);
+    BOOST_TEST(total(tested.m_crashes) == 2U);
+    tested.run_for(10s);
+    const auto failed = std::count_if(others.begin(), others.end(), [&](std::size_t place) {
+        return !is_answered_whole(tested.m_callers[place]);
+    });
+    BOOST_TEST(failed == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantine_is_forgotten_and_a_naive_proxy_crashes_on)
+{
+    fleet tested{1, {}};
+    run_killer(tested, "GET", 10s);
+    BOOST_TEST(total(tested.m_crashes) == 2U);
+    tested.run_for(70s);
+    tested.m_behaviour = nullptr;
+    const auto healed = tested.call(0, "GET", "/killer");
+    tested.run_for(1s);
+    BOOST_TEST(is_answered_whole(tested.m_callers[healed]));
+    for (const auto& each : tested.m_deciders) {
+        BOOST_TEST(each.m_node->m_gate.m_quarantine.m_suspects.empty());
+    }
+    fleet naive{1, {}, 3, make_naive_decider};
+    run_killer(naive, "GET", 10s);
+    BOOST_TEST(total(naive.m_crashes) > 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_connection_costs_no_request_and_no_upstream_its_name)
+{
+    for (const std::string method : {"GET", "POST"}) {
+        fleet tested{1, {}, 3, make_impatient_decider};
+        for (int step = 0; step < 20; ++step) { // All gates' clocks are known then.
+            tested.call(0, method, "/first");
+            tested.run_for(50ms);
+        }
+        std::string silenced;
+        std::vector<std::string> tried;
+        tested.m_silence = [&](const start_transfer& order) {
+            if (order.m_port != 7002) {
+                return -1;
+            }
+            tried.push_back(order.m_ip);
+            const bool is_first = std::exchange(silenced, "yes").empty();
+            BOOST_TEST((is_first || order.m_connection == connection_choice::fresh));
+            return is_first ? 0 : -1;
+        };
+        const auto place = tested.call(0, method, "/silent");
+        tested.run_for(1s);
+        BOOST_TEST(is_answered_whole(tested.m_callers[place]));
+        BOOST_TEST(tested.runs_of(tested.m_callers[place].m_id) == 1U);
+        BOOST_TEST(tried.size() == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_answer_is_waited_for)
+{
+    for (const std::string method : {"GET", "POST"}) {
+        fleet tested{1, {}, 3, make_impatient_decider};
+        tested.m_behaviour = [](std::size_t, const request_head&, upstream_answer answer) {
+            answer.m_latency = 1200ms;
+            return answer;
+        };
+        const auto place = tested.call(0, method, "/slow");
+        tested.run_for(5s);
+        BOOST_TEST(is_answered_whole(tested.m_callers[place]));
+        BOOST_TEST(tested.runs_of(tested.m_callers[place].m_id) <= (method == "POST" ? 1U : 2U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_host_finishes_its_work_and_loses_none)
+{
+    fleet tested{1, {}};
+    tested.m_behaviour = [](std::size_t, const request_head&, upstream_answer answer) {
+        answer.m_latency = 50ms;
+        return answer;
+    };
+    bool has_stopped = false;
+    bool took_work_late = false;
+    std::optional<instant> left_at;
+    tested.m_observer = [&](std::size_t host, const effect& item) {
+        has_stopped |= host == 1 && std::holds_alternative<stop_process>(item);
+        const auto* const order = std::get_if<start_transfer>(&item);
+        took_work_late |= order != nullptr && order->m_port == 9000 && host == 1 && left_at &&
+                          tested.m_now > *left_at + 3s;
+    };
+    for (std::size_t step = 0; step < 500; ++step) {
+        if (step == 100) {
+            left_at = tested.m_now;
+            tested.feed(1, leave_requested{});
+            BOOST_TEST(!has_stopped);
+        }
+        tested.call(step % 3, step % 2 == 0 ? "GET" : "POST", "/permits/" + std::to_string(step));
+        tested.run_for(10ms);
+    }
+    tested.run_for(5s);
+    BOOST_TEST(has_stopped);
+    BOOST_TEST(!took_work_late);
+    for (const auto& record : tested.m_callers) {
+        const bool is_refused = record.m_host == 1 && record.m_sent_at >= *left_at;
+        BOOST_TEST(is_answered_whole(record) == !is_refused);
+        BOOST_TEST(record.is_refusal("not-run") == is_refused);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_gate_refuses_what_was_judged_by_replaced_rules)
+{
+    known_revisions known;
+    configuration_state configuration;
+    configuration.m_documents["tides"].m_stored.m_revision = 4;
+    gate::note_revisions(known, configuration, instant{10s});
+    configuration.m_documents["tides"].m_stored.m_revision = 5;
+    gate::note_revisions(known, configuration, instant{20s});
+    gate::note_revisions(known, configuration, instant{22s});
+    BOOST_TEST(!gate::is_outdated(known, "tides", 4, instant{22s}));
+    BOOST_TEST(gate::is_outdated(known, "tides", 4, instant{24s}));
+    BOOST_TEST(!gate::is_outdated(known, "tides", 5, instant{24s}));
+    BOOST_TEST(!gate::is_outdated(known, "tides", 6, instant{24s}));
+    BOOST_TEST(!gate::is_outdated(known, "permits", 1, instant{24s}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
