--- a/tests/libpolicy/fate_scenarios_test.cpp
+++ b/tests/libpolicy/fate_scenarios_test.cpp
@@ -1,5 +1,6 @@
 #include "libbase/digest.h"
 #include "libpolicy/fleet_harness.h"
+#include "libpolicy/ingress/attempts.h"
 #include "libpolicy/naive_proxy.h"
 
 #include <boost/test/data/test_case.hpp>
@@ -235,6 +236,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_hedge_wins_and_the_loser_is_cancelled)
+{
+    const auto make_hedging = [](host_settings settings, effect_list& effects, instant now) {
+        auto made = make_decider(std::move(settings), effects, now);
+        made.m_reduce = [node = made.m_node](const event& occurrence) {
+            auto result = reduce(*node, occurrence);
+            for (auto& [exchange, request] : node->m_ingress.m_requests) {
+                if (request.m_attempts.size() == 1) { // As if the expected latency were 20 ms.
+                    request.m_hedge_at = request.m_attempts[0].m_started_at + 20ms;
+                    ingress::reschedule(node->m_ingress, request);
+                }
+            }
+            return result;
+        };
+        return made;
+    };
+    fleet tested{1, {}, 3, make_hedging};
+    std::size_t answers = 0;
+    tested.m_behaviour = [&](std::size_t, const request_head&, upstream_answer answer) {
+        answer.m_latency = ++answers == 1 ? duration{500ms} : duration{5ms};
+        return answer;
+    };
+    std::size_t cancelled = 0;
+    tested.m_observer = [&](std::size_t, const effect& item) {
+        cancelled += std::holds_alternative<cancel_transfer>(item);
+    };
+    const auto place = tested.call(0, "GET", "/late");
+    tested.run_for(1s);
+    const auto& record = tested.m_callers[place];
+    BOOST_TEST(is_answered_whole(record));
+    BOOST_TEST((record.m_ended_at - record.m_sent_at < duration{100ms}));
+    BOOST_TEST(answers == 2U);
+    BOOST_TEST(cancelled == 2U); // By the ingress, and by the gate of the loser.
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_answer_is_waited_for)
 {
     for (const std::string method : {"GET", "POST"}) {
--- /dev/null
+++ b/tests/libpolicy/gate_fate_test.cpp
@@ -0,0 +1,110 @@
+#include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/gate/tombstones.h"
+#include "libpolicy/node_fixture.h"
+#include "libwire/link_head.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+namespace {
+
+/// A gate with one upstream, and what an ingress sends it.
+struct gate_fixture : node_fixture {
+    gate_fixture()
+    {
+        load_sample_document();
+        announce("permits-1", "permits");
+        const heartbeat news{m_peer, "marsh", {"127.0.1.2", 7001, 7002, 7003, 7004}};
+        feed(datagram_received{m_peer, 1, {}, news});
+    }
+
+    std::int64_t reading() const { return gate::clock_reading(m_now); }
+
+    attempt_id next_attempt() { return {m_peer, ++m_last, 1}; }
+
+    effect_list send(const attempt_id& id, std::int64_t clock, std::string method = "POST",
+                     std::uint64_t incarnation = 1)
+    {
+        link_head link{id, incarnation, "permits-1", "permits", "permits", "blackmorass", "parish"};
+        link.m_time_left = 2000ms;
+        link.m_revision = 1;
+        link.m_gate_clock = clock;
+        request_head head{std::move(method), "/permits", {{"Host", "a"}}};
+        add_link_fields(head, link, 0, "secret");
+        return feed(inbound_request{++m_exchange, listener_kind::gate, head, 0, 0});
+    }
+
+    std::string fate_of(const effect_list& effects) const
+    {
+        const auto answers = only<respond>(effects);
+        return answers.empty() ? "none"
+                               : std::string{*find_field(answers[0].m_head.m_fields, fate_field)};
+    }
+
+    attempt_fate void_fate(const attempt_id& id, std::int64_t clock,
+                           void_scope scope = void_scope::not_handed_over)
+    {
+        const auto effects =
+            feed(datagram_received{m_peer, 2, {}, void_request{id, 1, clock, scope}});
+        return std::get<void_response>(only<send_datagram>(effects).at(0).m_message).m_fate;
+    }
+
+    host_identity m_peer{"marsh-2", 1};
+    std::uint64_t m_last = 0;
+    exchange_id m_exchange = 100;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(gate_fate, gate_fixture)
+
+BOOST_AUTO_TEST_CASE(an_attempt_is_handed_over_once_and_its_copies_are_not_called_not_run)
+{
+    const auto id = next_attempt();
+    BOOST_TEST(only<start_transfer>(send(id, reading())).size() == 1U);
+    BOOST_TEST(fate_of(send(id, reading())) == "run");
+    BOOST_TEST((void_fate(id, reading()) == attempt_fate::may_run));
+    BOOST_TEST((void_fate(id, reading(), void_scope::never_seen) == attempt_fate::in_progress));
+    BOOST_TEST(fate_of(send(next_attempt(), reading(), "POST", 7)) == "run");
+}
+
+BOOST_AUTO_TEST_CASE(a_voided_attempt_never_runs_however_late_it_comes)
+{
+    const auto id = next_attempt();
+    const auto clock = reading();
+    BOOST_TEST((void_fate(id, clock) == attempt_fate::not_run));
+    for (int second = 0; second < 90; ++second) {
+        const auto effects = send(id, clock);
+        BOOST_TEST(only<start_transfer>(effects).empty());
+        BOOST_TEST(fate_of(effects) == (second < 30 ? "not-run" : "run"));
+        advance(1s);
+    }
+    BOOST_TEST((void_fate(id, clock) == attempt_fate::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(only_idempotent_attempts_run_without_a_clock_reading)
+{
+    BOOST_TEST(only<start_transfer>(send(next_attempt(), 0, "GET")).size() == 1U);
+    const auto effects = send(next_attempt(), 0);
+    BOOST_TEST(only<start_transfer>(effects).empty());
+    const auto fields = only<respond>(effects).at(0).m_head.m_fields;
+    BOOST_TEST(*find_field(fields, reason_field) == gate::clock_required);
+    BOOST_TEST(*find_field(fields, gate_clock_field) == std::to_string(reading()));
+}
+
+BOOST_AUTO_TEST_CASE(a_full_gate_refuses_without_a_promise)
+{
+    auto& fates = m_node.m_gate.m_tombstones.m_fates;
+    while (fates.size() < gate::max_remembered_attempts) {
+        fates[next_attempt()] = attempt_fate::may_run;
+    }
+    const auto effects = send(next_attempt(), reading());
+    BOOST_TEST(only<start_transfer>(effects).empty());
+    BOOST_TEST(fate_of(effects) == "run");
+    BOOST_TEST((void_fate(next_attempt(), reading()) == attempt_fate::unknown));
+    BOOST_TEST(fates.size() == gate::max_remembered_attempts);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
