--- a/libraries/libpolicy/health/judgement.cpp
+++ b/libraries/libpolicy/health/judgement.cpp
@@ -14,6 +14,7 @@
 
 constexpr duration record_lifetime = 10min;   // Ejections are remembered over a restart.
 constexpr duration confirmation_time = 240ms; // By then the peers' reports of that time have come.
+constexpr std::uint64_t answers_by_peer = 2;  // On average, before a suspicion is confirmed.
 constexpr duration longest_doubt = 1min;      // Peers without traffic must not protect the sick.
 constexpr double sick = 1;
 constexpr double sick_on_trial = 0.6; // Who was ejected once is ejected again on less evidence.
@@ -206,12 +207,13 @@
 }
 
 /// Whether the suspicion has lasted long enough for the peers to show the same trouble if they have
-/// it: their reports of that time have come, and each had a request on average.
+/// it: their reports of that time have come, and they had some requests.
 bool has_lasted(const doubt& held, std::uint64_t peer_answers, std::size_t peers, instant now)
 {
     const auto passed = now - held.m_since;
     return passed >= longest_doubt ||
-           (passed >= confirmation_time && peer_answers - held.m_peer_answers >= peers);
+           (passed >= confirmation_time &&
+            peer_answers - held.m_peer_answers >= answers_by_peer * peers);
 }
 
 bool is_confirmed(upstream_record& record, const examination& exam, const service_record& service,
--- a/libraries/libpolicy/health/suspicion.cpp
+++ b/libraries/libpolicy/health/suspicion.cpp
@@ -16,7 +16,7 @@
 
 // A sum of s is passed by a healthy upstream about once in exp(s) runs upward. Latency has the
 // larger bound since its ordinary share is larger, so that runs are more frequent.
-constexpr std::array<double, symptom_count> sick_sum{8, 10, 12};
+constexpr std::array<double, symptom_count> sick_sum{8, 12, 12};
 
 // How many times the peers' share the recent answers must show, so that a trouble which reaches the
 // upstreams one after the other is not taken for that of the first.
@@ -28,6 +28,7 @@
 // The peers' share comes from few answers, so a symptom that is rare among them is still assumed to
 // be at least this frequent.
 constexpr std::array<double, symptom_count> least_share{0.01, 0.05, 0.03};
+constexpr std::array<double, symptom_count> sick_factor{2, 2.6, 2}; // Of a sick one's share.
 
 double median(std::vector<double> values)
 {
@@ -108,7 +109,7 @@
         if (healthy >= largest_usable_share) {
             continue;
         }
-        const auto sick = std::min(0.95, 0.13 + 2 * healthy);
+        const auto sick = std::min(0.95, 0.13 + sick_factor[index] * healthy);
         const auto hits = showing(answers, index, reference.m_from[index]);
         evidence[index] = hits * std::log(sick / healthy) +
                           (requests - hits) * std::log((1 - sick) / (1 - healthy));
--- a/libraries/libpolicy/routing/routing.cpp
+++ b/libraries/libpolicy/routing/routing.cpp
@@ -5,6 +5,8 @@
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chivevane::routing {
@@ -13,6 +15,10 @@
 
 constexpr double own_datacentre_preference = 1.25; // Worth a millisecond, not a queue.
 
+// The queues are as of the last heartbeat. If all hosts always took the shorter one, they would
+// overload it until the next.
+constexpr double comparing_share = 0.5;
+
 /// An upstream that may be chosen.
 struct candidate {
     choice m_choice;
@@ -26,10 +32,28 @@
     return std::find(asked.m_tried.begin(), asked.m_tried.end(), upstream) != asked.m_tried.end();
 }
 
+/// Whether data centres are out for one service; each is looked up once for a choice.
+struct datacentre_lookup {
+    const configuration_state& m_configuration;
+    std::string_view m_service;
+    std::vector<std::pair<std::string_view, bool>> m_known{};
+};
+
+bool is_out(datacentre_lookup& lookup, std::string_view datacentre)
+{
+    for (const auto& [name, out] : lookup.m_known) {
+        if (name == datacentre) {
+            return out;
+        }
+    }
+    const auto out =
+        configuration::is_datacentre_out(lookup.m_configuration, lookup.m_service, datacentre);
+    return lookup.m_known.emplace_back(datacentre, out).second;
+}
+
 /// The live, serving upstreams of the service outside the data centres that are out.
 std::vector<candidate> find_candidates(const context& surroundings, const membership_state& members,
-                                       const configuration_state& configuration,
-                                       std::string_view service)
+                                       datacentre_lookup lookup)
 {
     std::vector<candidate> found;
     for (const auto& [name, peer] : members.m_members) {
@@ -38,8 +62,8 @@
             continue;
         }
         for (const auto& summary : latest.m_upstreams) {
-            if (summary.m_service != service || summary.m_phase != upstream_phase::serving ||
-                configuration::is_datacentre_out(configuration, service, latest.m_datacentre)) {
+            if (summary.m_service != lookup.m_service ||
+                summary.m_phase != upstream_phase::serving || is_out(lookup, latest.m_datacentre)) {
                 continue;
             }
             const bool is_near = latest.m_datacentre == surroundings.m_settings.m_datacentre;
@@ -111,7 +135,7 @@
                                       const configuration_state& configuration,
                                       const question& asked)
 {
-    auto candidates = find_candidates(surroundings, members, configuration, asked.m_service);
+    auto candidates = find_candidates(surroundings, members, {configuration, asked.m_service});
     weigh(candidates, health, health::floor_of(configuration, asked.m_service),
           asked.m_repeatability, surroundings.m_now);
     std::erase_if(candidates, [](const candidate& each) { return each.m_weight <= 0; });
@@ -126,7 +150,9 @@
     }
     const auto& first = pick(surroundings.m_random, candidates);
     const auto& second = pick(surroundings.m_random, candidates);
-    return pressure_on(second) < pressure_on(first) ? second.m_choice : first.m_choice;
+    const bool may_compare = uniform_fraction(surroundings.m_random) < comparing_share;
+    const bool is_less_loaded = pressure_on(second) < pressure_on(first);
+    return may_compare && is_less_loaded ? second.m_choice : first.m_choice;
 }
 
 } // namespace chivevane::routing
