chivevanectl: Let operators drive the fleet from the command line

libcontrol holds the commands as functions over a transport: check, apply, get, list, diff, key create and withdraw, datacentre out and in, rollout, hosts, upstreams, organisations and the merged time line. Each ends with a documented exit code; output is text or JSON.

Writes name the revision that they replace. An answer that was lost is settled by reading back the edit id, and the write is sent again under the same condition only while the old revision is still in force, so it takes effect at most once; what cannot be settled is reported as unknown. Withdrawing a key and moving a data centre are made again after a lost race, up to five times; apply and key create give the conflict back.

Rollout asks those hosts themselves whose revision the first host does not know.

Tested against the real administration API with a fake store that refuses, loses requests or answers, and lets others win, plus a golden file of all lists.

--- /dev/null
+++ b/tests/libcontrol/fake_fleet.cpp
@@ -0,0 +1,145 @@
+#include "libcontrol/fake_fleet.h"
+
+#include "libadmin/answer_admin_request.h"
+#include "libbase/digest.h"
+#include "libdocument/parse_document.h"
+#include "libpolicy/configuration/configuration.h"
+
+#include <fmt/format.h>
+
+namespace chivevane::test {
+
+using namespace control;
+
+namespace {
+
+error no_answer(error_kind kind)
+{
+    return {kind, "no answer", "try again"};
+}
+
+} // namespace
+
+std::string first_document()
+{
+    return fmt::format("# Rules of the marsh.\n"
+                       "document: marsh\n"
+                       "organisations:\n"
+                       "  - name: parish # the office\n"
+                       "    rate: 10\n"
+                       "    burst: 20\n"
+                       "    keys:\n"
+                       "      - {{name: first, digest: {}}}\n"
+                       "services: [{{name: tides}}]\n"
+                       "routes: [{{name: notes, path_prefix: /t, service: tides}}]\n",
+                       sha256_hex("first"));
+}
+
+fake_fleet::fake_fleet()
+{
+    membership_state members;
+    for (const auto* const number : {"1", "2", "3"}) {
+        const auto name = fmt::format("marsh-{}", number);
+        const auto ip = fmt::format("127.0.1.{}", number);
+        members.m_members[name].m_latest = {{name, 7}, "marsh", {ip, 2, 1, 0, 3}};
+    }
+    members.m_members["marsh-3"].m_status = member_status::dead;
+    for (const auto* const number : {"1", "2"}) {
+        const auto address = fmt::format("127.0.1.{}:3", number);
+        auto& node = m_hosts[address];
+        node.m_settings.m_self = {fmt::format("marsh-{}", number), 7};
+        node.m_membership = members;
+        put_in_force(address, {"marsh", 1, "first-edit", first_document()});
+    }
+}
+
+command_result fake_fleet::run(const std::vector<std::string>& words)
+{
+    const session access{
+        m_tried, m_token,
+        [this](const std::string& host, const api_request& request) { return send(host, request); },
+        [this] { return fmt::format("secret-{:05}", ++m_secrets); },
+        [this](duration time) { m_slept += time; }};
+    return run_command(words, m_options, access, [this](const std::string& path) {
+        const auto found = m_files.find(path);
+        return found == m_files.end() ? result<std::string>{no_answer(error_kind::not_found)}
+                                      : result<std::string>{found->second};
+    });
+}
+
+void fake_fleet::edit_elsewhere(const std::string& text)
+{
+    const auto revision = stored().m_revision + 1;
+    for (const auto& [address, node] : m_hosts) {
+        put_in_force(address, {"marsh", revision, "edit-of-another", text});
+    }
+}
+
+const stored_document& fake_fleet::stored() const
+{
+    return m_hosts.begin()->second.m_configuration.m_documents.at("marsh").m_stored;
+}
+
+result<api_response> fake_fleet::send(const std::string& host, const api_request& request)
+{
+    const auto found = m_hosts.find(host);
+    auto fault = write_fault::none;
+    if (request.m_method == "PUT" && !m_faults.empty()) {
+        fault = m_faults.front();
+        m_faults.pop_front();
+    }
+    if (found == m_hosts.end() || fault == write_fault::refused) {
+        return no_answer(error_kind::unavailable);
+    }
+    if (fault == write_fault::request_lost) {
+        return no_answer(error_kind::unknown_outcome);
+    }
+    if (fault == write_fault::store_unknown) {
+        return api_response{
+            504, {}, R"({"title":"The store did not answer.","outcome":"unknown"})"};
+    }
+    if (fault == write_fault::race_lost) {
+        edit_elsewhere(first_document() + "datacentres_out: [elsewhere]\n");
+    }
+    const host_counters counters;
+    const request_head head{request.m_method, request.m_target, request.m_fields};
+    const auto decided = answer_admin_request(
+        {found->second, m_timelines[host], counters, "token-of-operators", instant{}},
+        {1, head, request.m_body, "fresh-edit"});
+    if (const auto* const submission = std::get_if<document_submitted>(&decided)) {
+        auto answer = submit(*submission);
+        if (fault == write_fault::answer_lost_then_raced) {
+            edit_elsewhere(first_document());
+        }
+        return fault == write_fault::none || fault == write_fault::race_lost
+                   ? result<api_response>{answer}
+                   : result<api_response>{no_answer(error_kind::unknown_outcome)};
+    }
+    const auto& answer = *std::get_if<respond>(&decided);
+    return api_response{answer.m_head.m_status, answer.m_head.m_fields, answer.m_body};
+}
+
+api_response fake_fleet::submit(const document_submitted& submission)
+{
+    const auto& documents = m_hosts.begin()->second.m_configuration.m_documents;
+    const auto known = documents.find(submission.m_name);
+    const auto current = known == documents.end() ? 0 : known->second.m_stored.m_revision;
+    if (submission.m_expected_revision != current) {
+        return {412, {}, fmt::format("{{\"current_revision\":{}}}", current)};
+    }
+    for (const auto& [address, node] : m_hosts) {
+        put_in_force(address,
+                     {submission.m_name, current + 1, submission.m_edit_id, submission.m_text});
+    }
+    ++m_writes;
+    return {200, {}, fmt::format("{{\"revision\":{}}}", current + 1)};
+}
+
+void fake_fleet::put_in_force(const std::string& host, const stored_document& stored)
+{
+    auto& configuration = m_hosts[host].m_configuration;
+    configuration.m_documents[stored.m_name] = {
+        stored, std::make_shared<const document>(value_of(parse_document(stored.m_text)))};
+}
+
+} // namespace chivevane::test
--- /dev/null
+++ b/tests/libcontrol/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE libcontrol
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/utilities/chivevanectl/main.cpp
@@ -0,0 +1,136 @@
+// chivevanectl: the operators' command line. See docs/OPERATING.md.
+
+#include "libbase/digest.h"
+#include "libcontrol/curl_transport.h"
+#include "libcontrol/run_command.h"
+#include "libsettings/parse_settings.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(host, "127.0.0.1:8083", "administration addresses ip:port, tried in order");
+DEFINE_string(token, "", "operator token; better use --token_file or CHIVEVANE_TOKEN");
+DEFINE_string(token_file, "", "file with the operator token");
+DEFINE_string(output, "text", "text or json");
+DEFINE_int64(expected_revision, -1, "apply: the revision that the file was made from; 0: none");
+DEFINE_double(wait, 0, "rollout: seconds to wait until every living host has the revision");
+DEFINE_string(hosts, "", "timeline: the hosts to ask instead of all that are known");
+DEFINE_uint64(limit, 1000, "timeline: entries of each host");
+
+namespace {
+
+using namespace chivevane;
+using namespace chivevane::control;
+
+constexpr std::size_t secret_size = 32; // bytes
+
+result<std::string> read_file(const std::string& path)
+{
+    std::ifstream stream{path, std::ios::binary};
+    std::ostringstream text;
+    text << stream.rdbuf();
+    if (!stream) {
+        return error{error_kind::not_found, "The file " + path + " cannot be read.",
+                     "Check the path and the permissions."};
+    }
+    return std::move(text).str();
+}
+
+/// The addresses of a list with commas.
+result<std::vector<std::string>> parse_addresses(const std::string& list)
+{
+    std::vector<std::string> addresses;
+    std::istringstream stream{list};
+    for (std::string item; std::getline(stream, item, ',');) {
+        if (const auto endpoint = parse_endpoint(item); is_error(endpoint)) {
+            return error_of(endpoint);
+        }
+        addresses.push_back(item);
+    }
+    return addresses;
+}
+
+result<std::string> read_token()
+{
+    if (!FLAGS_token.empty()) {
+        return FLAGS_token;
+    }
+    if (FLAGS_token_file.empty()) {
+        const auto* const token = std::getenv("CHIVEVANE_TOKEN");
+        return std::string{token == nullptr ? "" : token};
+    }
+    auto content = read_file(FLAGS_token_file);
+    if (is_error(content)) {
+        return content;
+    }
+    auto token = value_of(std::move(content));
+    token.erase(token.find_last_not_of("\r\n") + 1);
+    return token;
+}
+
+result<command_options> read_options()
+{
+    command_options options;
+    if (FLAGS_output != "text" && FLAGS_output != "json") {
+        return error{error_kind::out_of_range, "There is no output " + FLAGS_output + ".",
+                     "Use text or json."};
+    }
+    options.m_output = FLAGS_output == "json" ? output_format::json : output_format::text;
+    if (FLAGS_expected_revision >= 0) {
+        options.m_expected_revision = static_cast<std::uint64_t>(FLAGS_expected_revision);
+    }
+    options.m_wait = from_seconds(FLAGS_wait);
+    options.m_timeline_limit = FLAGS_limit;
+    auto hosts = parse_addresses(FLAGS_hosts);
+    if (is_error(hosts)) {
+        return error_of(hosts);
+    }
+    options.m_timeline_hosts = value_of(std::move(hosts));
+    return options;
+}
+
+result<session> open_session()
+{
+    auto hosts = parse_addresses(FLAGS_host);
+    if (is_error(hosts)) {
+        return error_of(hosts);
+    }
+    auto token = read_token();
+    if (is_error(token)) {
+        return error_of(token);
+    }
+    return session{value_of(std::move(hosts)), value_of(std::move(token)), make_curl_transport(),
+                   [] { return random_hex(secret_size); },
+                   [](duration time) { std::this_thread::sleep_for(time); }};
+}
+
+int bad_input(const error& failure)
+{
+    std::cerr << describe(failure) << '\n';
+    return static_cast<int>(exit_code::bad_input);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(std::string{usage()});
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const auto options = read_options();
+    if (is_error(options)) {
+        return bad_input(error_of(options));
+    }
+    const auto access = open_session();
+    if (is_error(access)) {
+        return bad_input(error_of(access));
+    }
+    const auto outcome = run_command(words, value_of(options), value_of(access), read_file);
+    std::cout << outcome.m_output;
+    std::cerr << outcome.m_errors;
+    return static_cast<int>(outcome.m_code);
+}
