--- a/meta/demo.py
+++ b/meta/demo.py
@@ -3,41 +3,20 @@
 Prints one line for each step with what was expected and seen; exits non-zero on any mismatch.
 """
 import hashlib
+import json
+import subprocess
 import sys
 import time
 
 import fleet as fleet_module
-from fleet import Fleet, digest, holds_for, together, wait_until
+from fleet import ADMIN_PORT, BIN, Fleet, OPERATOR_TOKEN, ROOT, holds_for, together, wait_until
 
-KEY, WITHDRAWN_KEY = "parish-office-key", "ranger-phone-key"
+# The keys of samples/README.md.
+KEY, WITHDRAWN_KEY = "sample-blackmorass-parish-office-office", "sample-blackmorass-rangers-phones"
 DOWNLOAD_SIZE = 64 * 1024 * 1024
 
-LAYOUT = {
-    "blackriver": [[("tides", {"slots": 8})], [("permits", {"slots": 8})]],
-    "marshgate": [[("tides", {"slots": 8})], [("permits", {"slots": 8})]],
-    "saltpan": [[("tides", {"slots": 8})], [("permits", {"slots": 8})]],
-}
-
-DOCUMENT = f"""document: blackmorass
-organisations:
-  - name: parish
-    rate: 200
-    burst: 200
-    keys:
-      - {{name: office, digest: {digest(KEY)}}}
-  - name: rangers
-    rate: 100
-    burst: 100
-    keys:
-      - {{name: phone, digest: {digest(WITHDRAWN_KEY)}}}
-services:
-  - {{name: tides, floor: 0.5}}
-  - {{name: permits, floor: 0.5}}
-routes:
-  - {{name: tide-notes, path_prefix: /tides, service: tides, open_to_all: true, timeout_ms: 3000}}
-  - {{name: permits, path_prefix: /permits, service: permits, timeout_ms: 20000}}
-datacentres_out: [@OUT@]
-"""
+LAYOUT = {datacentre: [[("tides", {"slots": 8})], [("permits", {"slots": 8})]]
+          for datacentre in ("blackriver", "marshgate", "saltpan")}
 
 
 class Steps:
@@ -52,20 +31,12 @@
         print(f"{'ok  ' if is_right else 'FAIL'} {name}: expected {expected}, saw {seen}", flush=True)
 
 
-def document(out="", without_key=None):
-    text = DOCUMENT.replace("@OUT@", out)
-    if without_key:
-        lines = [line for line in text.splitlines() if digest(without_key) not in line]
-        text = "\n".join(lines).replace("    keys:\nservices", "    keys: []\nservices") + "\n"
-    return text.encode()
-
-
-def apply(fleet, text):
-    """Writes the document over whichever revision is in force; returns the status."""
-    host = fleet.hosts[0]
-    current = fleet.admin(host, "GET", "/v1/documents/blackmorass")
-    condition = {"If-Match": current.headers["ETag"]} if current.status == 200 else {"If-None-Match": "*"}
-    return fleet.admin(host, "PUT", "/v1/documents/blackmorass", text, condition).status
+def control(fleet, *words, output="text"):
+    """Runs chivevanectl against two hosts; returns its exit code and output."""
+    hosts = ",".join(f"{host.ip}:{ADMIN_PORT}" for host in fleet.hosts[:2])
+    done = subprocess.run([BIN / "chivevanectl", f"--host={hosts}", f"--token={OPERATOR_TOKEN}",
+                           f"--output={output}", *words], capture_output=True, text=True, check=False)
+    return done.returncode, done.stdout
 
 
 def statuses(fleet, method, path, key=None, body=None):
@@ -87,20 +58,30 @@
             for upstream in host.upstreams if upstream["service"] == service}
 
 
+def apply_document(fleet, steps):
+    sample = ROOT / "samples" / "blackmorass.yaml"
+    steps.check("chivevanectl check", 0, control(fleet, "check", sample)[0])
+    accepted = wait_until(lambda: control(fleet, "apply", sample)[0] == 0, 10)
+    steps.check("chivevanectl apply", True, accepted)
+    steps.check("in force everywhere", 0, control(fleet, "--wait=18", "rollout", "blackmorass")[0])
+
+
 def serve_requests(fleet, steps):
     everywhere = [200] * len(fleet.hosts)
+    # Right after a start the members, and with them the brokers of the rates, still change.
+    ready = holds_for(lambda: statuses(fleet, "GET", "/permits/1", KEY) == everywhere
+                      and statuses(fleet, "GET", "/tides/1") == everywhere, 2, within=30)
+    steps.check("fleet ready", True, ready)
     steps.check("open route on every host", everywhere, statuses(fleet, "GET", "/tides/today"))
     steps.check("keyed route on every host", everywhere, statuses(fleet, "GET", "/permits/7", KEY))
     steps.check("no key", 401, fleet.call(fleet.hosts[1], "GET", "/permits/7").status)
+    steps.check("no such route", 404, fleet.call(fleet.hosts[1], "GET", "/nothing").status)
     posted = fleet.call(fleet.hosts[2], "POST", "/permits", KEY, b"permit-1")
     steps.check("POST", 200, posted.status)
     steps.check("POST ran once", 1, fleet.upstream_runs().get("permit-1"))
 
 
 def download(fleet, steps):
-    expected = hashlib.sha256(bytes((n * 31 + (n >> 12)) & 0xFF for n in range(1 << 20))).hexdigest()
-    small = fleet.call(fleet.hosts[3], "GET", f"/permits/download/{1 << 20}", KEY, timeout=30)
-    steps.check("1 MB download by hash", expected, hashlib.sha256(small.body).hexdigest())
     direct = fleet.hosts[1].upstreams[0]
     url = f"http://{direct['ip']}:{direct['port']}/download/{DOWNLOAD_SIZE}"
     wanted = hashlib.sha256(fleet_module.request("GET", url, timeout=30).body).hexdigest()
@@ -111,11 +92,13 @@
 
 def take_datacentre_out_and_back(fleet, steps):
     leaving = upstreams_in(fleet, "saltpan", "tides")
-    steps.check("data centre saltpan out", 200, apply(fleet, document(out="saltpan")))
+    out = control(fleet, "datacentre", "out", "blackmorass", "saltpan")[0]
+    steps.check("chivevanectl datacentre out", 0, out)
     time.sleep(3)
     served, worst = endpoints_serving(fleet, "/tides/today", 60)
     steps.check("no new work there, nothing refused", (set(), 200), (served & leaving, worst))
-    steps.check("data centre saltpan back", 200, apply(fleet, document()))
+    back = control(fleet, "datacentre", "in", "blackmorass", "saltpan")[0]
+    steps.check("chivevanectl datacentre in", 0, back)
     is_back = wait_until(lambda: leaving & endpoints_serving(fleet, "/tides/today", 60)[0], 20)
     steps.check("work there again", True, bool(is_back))
 
@@ -123,7 +106,8 @@
 def withdraw_key(fleet, steps):
     everywhere = [200] * len(fleet.hosts)
     steps.check("key works", everywhere, statuses(fleet, "GET", "/permits/7", WITHDRAWN_KEY))
-    steps.check("key withdrawn", 200, apply(fleet, document(without_key=WITHDRAWN_KEY)))
+    withdrawn = control(fleet, "key", "withdraw", "blackmorass", "rangers", "phones")[0]
+    steps.check("chivevanectl key withdraw", 0, withdrawn)
     refused = [401] * len(fleet.hosts)
     wait_until(lambda: statuses(fleet, "GET", "/permits/7", WITHDRAWN_KEY) == refused, 5)
     steps.check("refused on every host within 5 s", refused,
@@ -140,6 +124,15 @@
     fleet.control_store(mode="up")
 
 
+def read_timeline(fleet, steps):
+    code, text = control(fleet, "--limit=200", "timeline", output="json")
+    steps.check("chivevanectl timeline", 0, code)
+    entries = json.loads(text)
+    entries = entries["entries"] if isinstance(entries, dict) else entries
+    steps.check("entries of every host", {host.name for host in fleet.hosts},
+                {entry["host"] for entry in entries})
+
+
 def shut_down(fleet, steps):
     host = fleet.hosts[-1]
     started = time.monotonic()
@@ -152,18 +145,9 @@
     steps = Steps()
     with Fleet(LAYOUT) as fleet:
         fleet.start()
-        first = wait_until(lambda: apply(fleet, document()) == 200, 10)
-        steps.check("first document accepted", True, first)
-        # Right after a start the members, and with them the brokers of the rates, still change.
-        ready = holds_for(lambda: set(statuses(fleet, "GET", "/permits/1", KEY)) == {200}
-                          and set(statuses(fleet, "GET", "/tides/1")) == {200}, 2, within=20)
-        steps.check("fleet ready", True, ready)
-        serve_requests(fleet, steps)
-        download(fleet, steps)
-        take_datacentre_out_and_back(fleet, steps)
-        withdraw_key(fleet, steps)
-        work_without_store(fleet, steps)
-        shut_down(fleet, steps)
+        for part in (apply_document, serve_requests, download, take_datacentre_out_and_back,
+                     withdraw_key, work_without_store, read_timeline, shut_down):
+            part(fleet, steps)
         if steps.failed:
             print(f"logs: {fleet.folder}")
     print("demo passed" if steps.failed == 0 else f"demo failed: {steps.failed} steps")
