--- /dev/null
+++ b/benchmarks/ingress_benchmark.cpp
@@ -0,0 +1,84 @@
+#include "libbase/digest.h"
+#include "libpolicy/configuration/document_record.h"
+#include "libpolicy/reduce.h"
+#include "libwire/link_head.h"
+
+#include <benchmark/benchmark.h>
+
+namespace {
+
+using namespace chivevane;
+
+constexpr std::string_view rules = R"(document: tides
+organisations: []
+services: [{name: tides, floor: 0.5}]
+routes: [{name: notes, path_prefix: /, service: tides, open_to_all: true, timeout_ms: 600000}]
+)";
+
+/// A host that has `in_flight` requests of callers under way to another host.
+struct busy_ingress {
+    explicit busy_ingress(std::int64_t in_flight)
+    {
+        host_settings settings;
+        settings.m_self = {"marsh-1", 1};
+        settings.m_address = {"127.0.1.1", 1, 2, 3, 4};
+        settings.m_shared_secret = "secret";
+        m_node = std::move(start_node(settings, m_now, 0).m_state);
+        const stored_document stored{"tides", 1, "edit", std::string{rules}};
+        const store_entry entry{"/chivevane/documents/tides", encode_document_record(stored), 1};
+        feed(store_response{1, store_purpose::document_read, store_entries{1, {entry}}});
+        heartbeat news{{"marsh-2", 1}, "marsh", {"127.0.1.2", 1, 2, 3, 4}};
+        news.m_upstreams.push_back({"tides-1", "tides", 4, 4, 0, upstream_warmth::warm});
+        feed(datagram_received{news.m_identity, 1, {}, news});
+        for (std::int64_t each = 0; each < in_flight; ++each) {
+            send();
+        }
+    }
+
+    effect_list feed(event_body body) { return reduce(m_node, {m_now, 0, std::move(body)}); }
+
+    start_transfer send()
+    {
+        const auto effects = feed(
+            inbound_request{++m_exchange, listener_kind::caller, {"GET", "/", {{"Host", "a"}}}});
+        for (const auto& item : effects) {
+            if (const auto* const order = std::get_if<start_transfer>(&item)) {
+                return *order;
+            }
+        }
+        std::abort();
+    }
+
+    node_state m_node;
+    instant m_now{1h};
+    exchange_id m_exchange = 0;
+};
+
+/// One request from its arrival to its end while others are under way.
+void run_request(benchmark::State& state)
+{
+    busy_ingress ingress{state.range(0)};
+    for ([[maybe_unused]] auto _ : state) { // NOLINT(clang-analyzer-deadcode.DeadStores)
+        const auto order = ingress.send();
+        const auto attempt = find_field(order.m_head.m_fields, attempt_field);
+        ingress.feed(transfer_head{order.m_transfer,
+                                   {200,
+                                    {{std::string{attempt_field}, std::string{*attempt}},
+                                     {std::string{fate_field}, "run"}}}});
+        ingress.feed(transfer_ended{order.m_transfer});
+    }
+}
+BENCHMARK(run_request)->Arg(0)->Arg(1'000)->Arg(20'000);
+
+/// The timer while nothing is due.
+void run_timer(benchmark::State& state)
+{
+    busy_ingress ingress{state.range(0)};
+    for ([[maybe_unused]] auto _ : state) { // NOLINT(clang-analyzer-deadcode.DeadStores)
+        ingress.feed(timer_fired{});
+        benchmark::DoNotOptimize(next_wakeup(ingress.m_node));
+    }
+}
+BENCHMARK(run_timer)->Arg(0)->Arg(1'000)->Arg(20'000);
+
+} // namespace
