libpolicy: Give non-idempotent requests connections of their own

HTTP clients repeat a request by themselves when a kept connection breaks as it is sent. The gate recognises such a copy from an ingress, but an upstream does not, so a POST could run twice behind the gate's back; a kept connection that the upstream was just closing also made a sound POST end as unknown. Hand-overs of non-idempotent requests now ask for a fresh connection.

A gate also refuses, not run, new work for a service whose document takes its data centre out, so that an ingress that has not heard of it cannot go on.

Ruled out: relying on the shell to switch the repetition off, as libcurl has no option for it.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -1,6 +1,7 @@
 #include "libpolicy/gate/gate.h"
 
 #include "libpolicy/admission/admission.h"
+#include "libpolicy/configuration/configuration.h"
 #include "libpolicy/forwarding.h"
 #include "libpolicy/gate/crash_reports.h"
 #include "libpolicy/gate/gate_answers.h"
@@ -75,6 +76,11 @@
         refuse_attempt(node, surroundings, link.m_attempt, refusal_kind::leaving);
         return;
     }
+    if (configuration::is_datacentre_out(node.m_configuration, link.m_service,
+                                         surroundings.m_settings.m_datacentre)) {
+        refuse_attempt(node, surroundings, link.m_attempt, refusal_kind::no_upstream);
+        return;
+    }
     if (is_outdated(state.m_revisions, link.m_document, link.m_revision, surroundings.m_now)) {
         refuse_attempt(node, surroundings, link.m_attempt, refusal_kind::not_ready);
         return;
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -64,6 +64,15 @@
            found->second.m_running == attempt.m_link.m_attempt;
 }
 
+/// A kept connection may break as the request is sent, and HTTP clients repeat it then by
+/// themselves, so what must not run twice gets its own.
+connection_choice connection_for(const gate_state& state, const gate_attempt& attempt)
+{
+    const bool needs_own =
+        attempt.m_repeat == gate_repeat::forbidden || is_suspect_runner(state, attempt);
+    return needs_own ? connection_choice::fresh : connection_choice::reuse;
+}
+
 /// Hands an attempt to its upstream. From here on it may have run.
 void hand_over(node_state& node, context& surroundings, const attempt_id& id)
 {
@@ -73,9 +82,7 @@
     attempt.m_phase = gate_phase::running;
     attempt.m_handed_over_at = surroundings.m_now;
     attempt.m_upstream_run = upstream.m_latest.m_run;
-    const bool is_suspected = is_suspect_runner(node.m_gate, attempt);
-    send_to_upstream(node, surroundings, attempt,
-                     is_suspected ? connection_choice::fresh : connection_choice::reuse);
+    send_to_upstream(node, surroundings, attempt, connection_for(node.m_gate, attempt));
 }
 
 void offer(node_state& node, context& surroundings, const attempt_id& id)
--- a/tests/libpolicy/gate_fate_test.cpp
+++ b/tests/libpolicy/gate_fate_test.cpp
@@ -1,3 +1,4 @@
+#include "libpolicy/configuration/document_record.h"
 #include "libpolicy/gate/gate_answers.h"
 #include "libpolicy/gate/tombstones.h"
 #include "libpolicy/node_fixture.h"
@@ -107,4 +108,26 @@
     BOOST_TEST(fates.size() == gate::max_remembered_attempts);
 }
 
+BOOST_AUTO_TEST_CASE(what_must_not_run_twice_gets_a_connection_of_its_own)
+{
+    const auto post = only<start_transfer>(send(next_attempt(), reading()));
+    const auto get = only<start_transfer>(send(next_attempt(), reading(), "GET"));
+    BOOST_TEST((post.at(0).m_connection == connection_choice::fresh));
+    BOOST_TEST((get.at(0).m_connection == connection_choice::reuse));
+}
+
+BOOST_AUTO_TEST_CASE(a_data_centre_that_is_out_takes_no_new_work_whoever_sends_it)
+{
+    const auto running = only<start_transfer>(send(next_attempt(), reading())).at(0);
+    const stored_document stored{"blackmorass", 2, "edit-2",
+                                 sample_document() + "datacentres_out: [marsh]\n"};
+    const store_entry entry{"/chivevane/documents/blackmorass", encode_document_record(stored), 2};
+    feed(store_response{1, store_purpose::document_watch, store_entries{2, {entry}}});
+    const auto effects = send(next_attempt(), reading());
+    BOOST_TEST(only<start_transfer>(effects).empty());
+    BOOST_TEST(fate_of(effects) == "not-run");
+    const auto answer = feed(transfer_head{running.m_transfer, {200, {}}});
+    BOOST_TEST(only<relay_transfer>(answer).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
