libpolicy: Split the handling of answers from the ingress

ingress.cpp had grown to 450 lines with two jobs: the events of requests, and what follows from gates' answers and their absence. The second stands in answers.cpp now.

--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -3,8 +3,7 @@
 #include "libbase/digest.h"
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/forwarding.h"
-#include "libpolicy/gate/gate_answers.h"
-#include "libpolicy/health/health.h"
+#include "libpolicy/ingress/answers.h"
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/caller_request.h"
 #include "libpolicy/ingress/inquiries.h"
@@ -16,15 +15,12 @@
 
 #include <algorithm>
 #include <cassert>
-#include <charconv>
 #include <fmt/format.h>
 
 namespace chivevane::ingress {
 
 namespace {
 
-constexpr std::size_t max_gate_readings = 4096; // More hosts than one ingress speaks to.
-
 std::uint64_t fingerprint_of(const ingress_request& request)
 {
     return stable_hash(fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation,
@@ -85,12 +81,6 @@
     return std::nullopt;
 }
 
-/// A request with the one of its attempts that an event is about.
-struct found_attempt {
-    ingress_request& m_request;
-    ingress_attempt& m_attempt;
-};
-
 found_attempt find_by_transfer(ingress_state& state, transfer_id transfer)
 {
     auto& request = state.m_requests.at(state.m_by_transfer.at(transfer));
@@ -101,183 +91,6 @@
     return {request, *found};
 }
 
-void observe(node_state& node, context& surroundings, const found_attempt& about,
-             observed_result seen)
-{
-    const auto& [request, attempt] = about;
-    health::observe(node.m_health, surroundings,
-                    {attempt.m_destination.m_upstream, request.m_route->m_service,
-                     request.m_route->m_name, observer::ingress, seen,
-                     surroundings.m_now - attempt.m_started_at});
-}
-
-/// An attempt that may have run has no answer: asks for its fate where a second run would do harm.
-void lose_answer(node_state& node, context& surroundings, const found_attempt& about,
-                 refusal_kind kind)
-{
-    const auto& [request, attempt] = about;
-    if (request.m_repeatability == routing::repeatability::idempotent) {
-        end_attempt(node, surroundings, request, attempt, {kind, request_outcome::unknown});
-        return;
-    }
-    begin_void(node, surroundings, request, attempt);
-}
-
-void learn_clock(ingress_state& state, const ingress_attempt& attempt, const response_head& head,
-                 instant now)
-{
-    const auto digits = find_field(head.m_fields, gate_clock_field).value_or("");
-    std::int64_t reading = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), reading);
-    if (reading <= 0) {
-        return;
-    }
-    if (state.m_gate_readings.size() >= max_gate_readings) {
-        state.m_gate_readings.clear(); // They are learned anew with the next answers.
-    }
-    const auto& destination = attempt.m_destination;
-    state.m_gate_readings[destination.m_upstream.m_host] = {destination.m_gate_incarnation, reading,
-                                                            now};
-}
-
-std::optional<duration> retry_after_of(const response_head& head)
-{
-    const auto digits = find_field(head.m_fields, "Retry-After").value_or("");
-    int seconds = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return seconds > 0 ? std::optional<duration>{std::chrono::seconds{seconds}} : std::nullopt;
-}
-
-/// Remembers which run of an upstream broke off on the request, so that the next gate knows.
-void note_strike(node_state& node, context& surroundings, ingress_request& request,
-                 const response_head& head)
-{
-    const auto strike = find_field(head.m_fields, strike_field);
-    if (!strike) {
-        return;
-    }
-    request.m_strike = *strike;
-    quarantine::add_strike(node.m_gate.m_quarantine, request.m_fingerprint, *strike,
-                           surroundings.m_now);
-}
-
-/// The gate answered in place of its upstream.
-void take_gate_refusal(node_state& node, context& surroundings, const found_attempt& about,
-                       const response_head& head, std::string_view reason)
-{
-    const auto& [request, attempt] = about;
-    const bool not_run = find_field(head.m_fields, fate_field) == "not-run";
-    const auto retry_after = retry_after_of(head);
-    note_strike(node, surroundings, request, head);
-    cancel_attempt(node, surroundings, attempt);
-    if (not_run && reason == gate::clock_required) {
-        resend_to_same_gate(node, surroundings, request, attempt, connection_choice::reuse);
-        return;
-    }
-    const auto kind = parse_refusal_kind(reason).value_or(refusal_kind::upstream_failed);
-    end_attempt(node, surroundings, request, attempt,
-                {kind, not_run ? request_outcome::not_run : request_outcome::unknown, retry_after});
-}
-
-/// Whether another upstream may answer where this one says that it cannot.
-bool is_worth_retry(const response_head& head)
-{
-    return head.m_status == 502 || head.m_status == 503 || head.m_status == 504;
-}
-
-/// Asks another upstream in place of relaying the answer. False if there is none or no budget.
-bool retry_elsewhere(node_state& node, context& surroundings, const found_attempt& about)
-{
-    const auto& [request, attempt] = about;
-    const auto target = find_destination(node, surroundings, request);
-    if (!target || target->m_choice.m_upstream == attempt.m_destination.m_upstream ||
-        !spend_attempt(node, surroundings, request, request_outcome::unknown)) {
-        return false;
-    }
-    cancel_attempt(node, surroundings, attempt);
-    attempt.m_phase = attempt_phase::ended;
-    attempt.m_next_inquiry = instant::max();
-    send_attempt(node, surroundings, request, *target);
-    return true;
-}
-
-void relay(node_state& node, context& surroundings, const found_attempt& about,
-           std::optional<response_head> head)
-{
-    const auto& [request, attempt] = about;
-    attempt.m_phase = attempt_phase::answered;
-    attempt.m_next_inquiry = instant::max();
-    for (auto& other : request.m_attempts) {
-        if (&other != &attempt && other.m_phase != attempt_phase::ended) {
-            cancel_attempt(node, surroundings, other);
-            other.m_phase = attempt_phase::ended;
-            other.m_next_inquiry = instant::max();
-        }
-    }
-    request.m_phase = ingress_phase::relaying;
-    emit(surroundings, relay_transfer{attempt.m_transfer, request.m_exchange, std::move(head)});
-    reschedule(node.m_ingress, request);
-}
-
-void take_answer(node_state& node, context& surroundings, const found_attempt& about,
-                 const response_head& head)
-{
-    const auto& [request, attempt] = about;
-    if (request.m_phase == ingress_phase::resuming) {
-        if (is_rest_of(request.m_answer, head)) {
-            relay(node, surroundings, about, std::nullopt);
-            return;
-        }
-        cancel_attempt(node, surroundings, attempt);
-        end_attempt(node, surroundings, request, attempt,
-                    {refusal_kind::upstream_failed, request_outcome::unknown});
-        return;
-    }
-    if (is_worth_retry(head) && retry_elsewhere(node, surroundings, about)) {
-        return;
-    }
-    request.m_answer = begin_answer(request.m_head, head);
-    relay(node, surroundings, about, forwardable_response(head));
-}
-
-/// The answer broke off: goes on with it elsewhere, or cuts it visibly.
-void resume_or_cut(node_state& node, context& surroundings, const found_attempt& about)
-{
-    const auto& [request, attempt] = about;
-    const refusal reason{refusal_kind::upstream_failed, request_outcome::unknown};
-    node.m_ingress.m_by_transfer.erase(attempt.m_transfer);
-    attempt.m_phase = attempt_phase::ended;
-    const auto target = find_destination(node, surroundings, request);
-    if (!target || !may_resume(request.m_answer) ||
-        !spend_retry(node.m_ingress.m_retry_budget, request.m_route->m_service,
-                     surroundings.m_now)) {
-        conclude(node, surroundings, request, reason);
-        return;
-    }
-    ++request.m_answer.m_resumptions;
-    request.m_phase = ingress_phase::resuming;
-    request.m_deadline = surroundings.m_now + request.m_route->m_timeout;
-    send_attempt(node, surroundings, request, *target);
-}
-
-void end_relay(node_state& node, context& surroundings, const found_attempt& about,
-               const transfer_ended& end)
-{
-    auto& request = about.m_request;
-    const bool is_complete = is_whole(request.m_answer, end.m_body_bytes) &&
-                             (end.m_end == transfer_end::complete || request.m_answer.m_length);
-    request.m_answer.m_relayed += end.m_body_bytes;
-    if (is_complete) {
-        emit(surroundings, finish_exchange{request.m_exchange});
-        forget_request(node, request);
-        return;
-    }
-    observe(node, surroundings, about,
-            end.m_end == transfer_end::broken ? observed_result::unreachable
-                                              : observed_result::wrong);
-    resume_or_cut(node, surroundings, about);
-}
-
 /// Sends a second attempt while the first is late, if there is an untried upstream.
 void hedge(node_state& node, context& surroundings, ingress_request& request)
 {
