libpolicy: Tell ingresses why a request is suspected

Crash reports go to the hosts of the service only, so an ingress on another host sent a suspected request to any gate and was refused by all but its owner.

--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -116,7 +116,7 @@
                                             link.m_fingerprint);
     const bool is_owner = owner == surroundings.m_settings.m_self.m_name;
     if (!is_owner || entry.m_held.size() >= quarantine::max_held) {
-        refuse_attempt(node, surroundings, id, refusal_kind::overloaded);
+        refuse_attempt(node, surroundings, id, refusal_kind::overloaded, entry.m_strikes.front());
         return;
     }
     if (entry.m_running) {
@@ -262,10 +262,10 @@
 }
 
 void refuse_attempt(node_state& node, context& surroundings, const attempt_id& id,
-                    refusal_kind kind)
+                    refusal_kind kind, std::string_view strike)
 {
     answer_refusal(surroundings, node.m_gate.m_attempts.at(id).m_exchange, id,
-                   {kind, request_outcome::not_run, 1s});
+                   {kind, request_outcome::not_run, 1s}, strike);
     finish(node, surroundings, id, attempt_fate::not_run);
 }
 
--- a/libraries/libpolicy/gate/running_attempts.h
+++ b/libraries/libpolicy/gate/running_attempts.h
@@ -20,9 +20,10 @@
 /// Hands over the waiting attempts whose turn has come.
 void start_waiting(node_state& node, context& surroundings);
 
-/// Refuses an attempt that was not handed over. It never will be.
+/// Refuses an attempt that was not handed over. It never will be. `strike` tells the ingress why
+/// the request is suspected.
 void refuse_attempt(node_state& node, context& surroundings, const attempt_id& id,
-                    refusal_kind kind);
+                    refusal_kind kind, std::string_view strike = {});
 
 /// Takes an attempt that was not handed over out of its queue.
 void withdraw(node_state& node, const gate_attempt& attempt);
--- a/tests/libpolicy/gate_fate_test.cpp
+++ b/tests/libpolicy/gate_fate_test.cpp
@@ -130,4 +130,19 @@
     BOOST_TEST(only<relay_transfer>(answer).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_suspected_request_is_left_to_its_owner_and_the_ingress_learns_why)
+{
+    heartbeat news{m_peer, "marsh", {"127.0.1.2", 7001, 7002, 7003, 7004}};
+    news.m_upstreams.push_back({"permits-1", "permits", 4, 4, 0, upstream_warmth::warm});
+    feed(datagram_received{m_peer, 3, {}, news});
+    const std::string strike = "marsh-1/permits-1/1";
+    feed(datagram_received{m_peer, 4, {}, crash_report{0, strike}});
+    const auto refused = send(next_attempt(), reading());
+    BOOST_TEST(fate_of(refused) == "not-run");
+    const auto fields = only<respond>(refused).at(0).m_head.m_fields;
+    BOOST_TEST(find_field(fields, strike_field).value_or("") == strike);
+    feed(datagram_received{m_peer, 5, {}, crash_report{0, strike, crash_evidence::withdrawn}});
+    BOOST_TEST(only<start_transfer>(send(next_attempt(), reading())).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
