--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -64,6 +64,15 @@
            found->second.m_running == attempt.m_link.m_attempt;
 }
 
+/// A kept connection may break as the request is sent, and HTTP clients repeat it then by
+/// themselves, so what must not run twice gets its own.
+connection_choice connection_for(const gate_state& state, const gate_attempt& attempt)
+{
+    const bool needs_own =
+        attempt.m_repeat == gate_repeat::forbidden || is_suspect_runner(state, attempt);
+    return needs_own ? connection_choice::fresh : connection_choice::reuse;
+}
+
 /// Hands an attempt to its upstream. From here on it may have run.
 void hand_over(node_state& node, context& surroundings, const attempt_id& id)
 {
@@ -73,9 +82,7 @@
     attempt.m_phase = gate_phase::running;
     attempt.m_handed_over_at = surroundings.m_now;
     attempt.m_upstream_run = upstream.m_latest.m_run;
-    const bool is_suspected = is_suspect_runner(node.m_gate, attempt);
-    send_to_upstream(node, surroundings, attempt,
-                     is_suspected ? connection_choice::fresh : connection_choice::reuse);
+    send_to_upstream(node, surroundings, attempt, connection_for(node.m_gate, attempt));
 }
 
 void offer(node_state& node, context& surroundings, const attempt_id& id)
@@ -109,7 +116,7 @@
                                             link.m_fingerprint);
     const bool is_owner = owner == surroundings.m_settings.m_self.m_name;
     if (!is_owner || entry.m_held.size() >= quarantine::max_held) {
-        refuse_attempt(node, surroundings, id, refusal_kind::overloaded);
+        refuse_attempt(node, surroundings, id, refusal_kind::overloaded, entry.m_strikes.front());
         return;
     }
     if (entry.m_running) {
@@ -255,10 +262,10 @@
 }
 
 void refuse_attempt(node_state& node, context& surroundings, const attempt_id& id,
-                    refusal_kind kind)
+                    refusal_kind kind, std::string_view strike)
 {
     answer_refusal(surroundings, node.m_gate.m_attempts.at(id).m_exchange, id,
-                   {kind, request_outcome::not_run, 1s});
+                   {kind, request_outcome::not_run, 1s}, strike);
     finish(node, surroundings, id, attempt_fate::not_run);
 }
 
