libpolicy: Tell a common failure from the first upstream that shows it

A suspicion of failures is now confirmed only by what the peers answered after it arose: their own share of failures must stay below 0.4 of the suspect's, with two answers from each on average. A suspicion lasts over a moment without bad answers, and services without new answers are not examined.

Benchmarks measure reports, judgements, choices and the gate's queue.

--- /dev/null
+++ b/benchmarks/admission_benchmark.cpp
@@ -0,0 +1,37 @@
+#include "libpolicy/admission/admission.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+using namespace chivevane;
+
+namespace {
+
+/// One attempt through a full queue, with a number of organisations waiting.
+void attempt_through_a_full_queue(benchmark::State& state)
+{
+    admission_state gate;
+    instant now{1h};
+    admission::set_upstream(gate, "e", 4, upstream_warmth::warm,
+                            admission::upstream_news::started_anew, now);
+    std::uint64_t number = 0;
+    const auto offer = [&] {
+        const auto organisation = fmt::format("org-{}", number % state.range(0));
+        const attempt_id id{{"ingress", 1}, ++number, 1};
+        benchmark::DoNotOptimize(admission::offer(gate, {id, "e", organisation, now + 10s}, now));
+    };
+    for (int filling = 0; filling < 100; ++filling) {
+        offer();
+    }
+    for (auto step : state) {
+        now += 5ms;
+        admission::finished(gate, "e", admission::run_result::good, 20ms, now);
+        benchmark::DoNotOptimize(admission::take_expired(gate, now));
+        benchmark::DoNotOptimize(admission::take_startable(gate, now));
+        benchmark::DoNotOptimize(admission::next_wakeup(gate));
+        offer();
+    }
+}
+BENCHMARK(attempt_through_a_full_queue)->Arg(1)->Arg(8)->Arg(64);
+
+} // namespace
--- /dev/null
+++ b/benchmarks/health_benchmark.cpp
@@ -0,0 +1,160 @@
+#include "libpolicy/health/health.h"
+#include "libpolicy/health/judgement.h"
+#include "libpolicy/routing/routing.h"
+#include "libwire/datagram.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+#include <memory>
+
+using namespace chivevane;
+
+namespace {
+
+constexpr std::size_t endpoints_of_service = 10;
+constexpr std::size_t routes = 2;
+
+/// One host among many; every ten hosts carry one service with two routes.
+struct fleet {
+    explicit fleet(std::size_t size)
+    {
+        m_settings.m_self = {"host-0", 1};
+        m_settings.m_datacentre = "dc-0";
+        document rules;
+        for (std::size_t index = 0; index < size; ++index) {
+            const auto name = fmt::format("host-{}", index);
+            const auto service = fmt::format("service-{}", index / endpoints_of_service);
+            heartbeat news{{name, 1}, fmt::format("dc-{}", index % 3), {name, 1, 2, 3, 4}};
+            news.m_upstreams.push_back(
+                {"e", service, 4, 4, 0, upstream_warmth::warm, upstream_phase::serving});
+            m_members.m_members[name] = {news, member_status::alive, m_now};
+            if (index % endpoints_of_service == 0) {
+                rules.m_services.push_back({service, 0.5});
+                rules.m_routes.push_back({"notes", "", "/", {}, service});
+            }
+        }
+        m_configuration.m_documents["d"] = {{}, std::make_shared<const document>(rules)};
+    }
+
+    /// The report of every other host on its upstream, after another half second of traffic.
+    std::vector<health_report> next_reports()
+    {
+        ++m_window;
+        std::vector<health_report> reports;
+        for (std::size_t index = 0; index < m_members.m_members.size(); ++index) {
+            health_report report{m_window, {}};
+            for (std::size_t route = 0; route < routes; ++route) {
+                evidence_counters counters;
+                for (std::size_t bucket = 8; bucket < 14; ++bucket) {
+                    counters.m_latencies[bucket] = static_cast<std::uint16_t>(m_window * 5);
+                }
+                report.m_evidence.push_back(
+                    {{"", "e"},
+                     fmt::format("service-{}", index / endpoints_of_service),
+                     fmt::format("route-{}", route),
+                     1,
+                     counters});
+            }
+            reports.push_back(std::move(report));
+        }
+        return reports;
+    }
+
+    void receive(const std::vector<health_report>& reports)
+    {
+        auto surroundings = make_context();
+        for (std::size_t index = 1; index < reports.size(); ++index) {
+            health::on_report(m_health, surroundings, {fmt::format("host-{}", index), 1},
+                              reports[index]);
+        }
+    }
+
+    void judge()
+    {
+        m_now += health::judgement_interval;
+        auto surroundings = make_context();
+        health::on_timer(m_health, surroundings, m_members, m_configuration);
+    }
+
+    context make_context()
+    {
+        m_effects.clear();
+        return {m_now, 0, m_settings, m_random, m_last_id, m_effects};
+    }
+
+    host_settings m_settings;
+    random_engine m_random;
+    std::uint64_t m_last_id = 0;
+    effect_list m_effects;
+    configuration_state m_configuration;
+    membership_state m_members;
+    health_state m_health;
+    std::uint64_t m_window = 0;
+    instant m_now{1h};
+};
+
+/// Taking in one report of every member.
+void reports_of_all_members(benchmark::State& state)
+{
+    fleet hosts{static_cast<std::size_t>(state.range(0))};
+    for (auto step : state) {
+        state.PauseTiming();
+        const auto reports = hosts.next_reports();
+        state.ResumeTiming();
+        hosts.receive(reports);
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(reports_of_all_members)->Arg(10)->Arg(30)->Arg(100)->Arg(300)->Complexity(benchmark::oN);
+
+/// One judgement on all upstreams; there are four in a second.
+void judgement_on_all_upstreams(benchmark::State& state)
+{
+    fleet hosts{static_cast<std::size_t>(state.range(0))};
+    for (auto step : state) {
+        state.PauseTiming();
+        hosts.receive(hosts.next_reports());
+        state.ResumeTiming();
+        hosts.judge();
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(judgement_on_all_upstreams)
+    ->Arg(10)
+    ->Arg(30)
+    ->Arg(100)
+    ->Arg(300)
+    ->Complexity(benchmark::oN);
+
+/// One choice of an upstream.
+void choice_of_an_upstream(benchmark::State& state)
+{
+    fleet hosts{static_cast<std::size_t>(state.range(0))};
+    hosts.receive(hosts.next_reports());
+    hosts.judge();
+    for (auto step : state) {
+        auto surroundings = hosts.make_context();
+        benchmark::DoNotOptimize(routing::choose_upstream(
+            surroundings, hosts.m_members, hosts.m_health, hosts.m_configuration, {"service-0"}));
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(choice_of_an_upstream)->Arg(10)->Arg(30)->Arg(100)->Arg(300)->Complexity(benchmark::oN);
+
+/// Bytes that one host sends in a second: two reports to every other host, with UDP and IP headers.
+void bytes_of_reports(benchmark::State& state)
+{
+    constexpr std::size_t headers = 28;
+    fleet hosts{static_cast<std::size_t>(state.range(0))};
+    const datagram packet{{"host-0", 1}, 1, {1, 1}, hosts.next_reports().front()};
+    std::size_t size = 0;
+    for (auto step : state) {
+        size = value_of(encode_datagram(packet, "secret")).size() + headers;
+        benchmark::DoNotOptimize(size);
+    }
+    state.counters["bytes_of_a_report"] = static_cast<double>(size);
+    state.counters["bytes_per_second"] = static_cast<double>(2 * size * (state.range(0) - 1));
+}
+BENCHMARK(bytes_of_reports)->Arg(10)->Arg(34)->Arg(100)->Arg(300);
+
+} // namespace
--- a/libraries/libpolicy/health/health_state.h
+++ b/libraries/libpolicy/health/health_state.h
@@ -24,18 +24,25 @@
     suspicion m_tests;
 };
 
+/// Answers that were pooled since this host knows an upstream.
+struct answer_totals {
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_failures = 0;
+};
+
 /// A suspicion that waits for its confirmation.
 struct doubt {
-    instant m_since;
-    std::uint64_t m_peer_answers = 0; ///< Answers of all peers until then.
+    instant m_since;                              ///< When it arose.
+    instant m_renewed_at;                         ///< When the evidence last gave cause for it.
+    std::map<upstream_id, answer_totals> m_peers; ///< Until then.
 };
 
 /// Pooled evidence on one upstream and where it stands.
 struct upstream_record {
     std::string m_service;
     std::map<std::string, route_record, std::less<>> m_routes;
-    suspicion m_tests;           ///< Over all routes together.
-    std::uint64_t m_answers = 0; ///< All that were pooled.
+    suspicion m_tests; ///< Over all routes together.
+    answer_totals m_totals;
     std::optional<doubt> m_doubt;
     double m_excess = 0; ///< How bad it was when it was last suspected, 0 to 1.
     standing_record m_standing;
@@ -54,7 +61,6 @@
 struct service_record {
     double m_rate = 0; ///< Answers per second.
     std::uint32_t m_pending = 0;
-    std::uint64_t m_answers = 0; ///< All that were pooled.
     double m_trial_share = 1;
     std::map<std::string, route_expectation, std::less<>> m_routes;
 };
--- a/libraries/libpolicy/health/suspicion.cpp
+++ b/libraries/libpolicy/health/suspicion.cpp
@@ -37,13 +37,18 @@
     return *middle;
 }
 
-/// How many of the answers in a peer's window show a symptom.
-struct peer_share {
-    double m_showing = 0;
-    double m_requests = 0;
-};
+template <typename Counts>
+double showing(const Counts& counts, std::size_t index, std::size_t from)
+{
+    if (index == static_cast<std::size_t>(symptom::failing)) {
+        return counts.m_failures;
+    }
+    const auto first = counts.m_latencies.begin() + static_cast<std::ptrdiff_t>(from);
+    return std::accumulate(first, counts.m_latencies.end(), 0.0);
+}
+
+} // namespace
 
-/// The share over all peers but the third that fares worst, which may be sick.
 double ordinary_share(std::vector<peer_share> peers)
 {
     std::sort(peers.begin(), peers.end(), [](const peer_share& left, const peer_share& right) {
@@ -56,21 +61,9 @@
         showing += peer.m_showing;
         requests += peer.m_requests;
     }
-    return showing / requests;
+    return requests > 0 ? showing / requests : 0;
 }
 
-template <typename Counts>
-double showing(const Counts& counts, std::size_t index, std::size_t from)
-{
-    if (index == static_cast<std::size_t>(symptom::failing)) {
-        return counts.m_failures;
-    }
-    const auto first = counts.m_latencies.begin() + static_cast<std::ptrdiff_t>(from);
-    return std::accumulate(first, counts.m_latencies.end(), 0.0);
-}
-
-} // namespace
-
 peer_reference refer_to(std::span<const evidence_window* const> peers)
 {
     peer_reference reference;
@@ -151,17 +144,17 @@
     return common;
 }
 
-double severity_of(const suspicion& tests, const std::array<double, symptom_count>& common,
-                   const symptom_counts& recent)
+severity severity_of(const suspicion& tests, const std::array<double, symptom_count>& common,
+                     const symptom_counts& recent)
 {
-    double worst = 0;
+    severity worst;
     for (std::size_t index = 0; index < symptom_count; ++index) {
         const bool is_borne_out =
             recent.m_observed[index] >
             bearing_out[index] * recent.m_expected[index] + least_excess * recent.m_requests;
-        if (is_borne_out) {
-            const auto own_part = tests.m_sum[index] - common_weight * common[index];
-            worst = std::max(worst, own_part / sick_sum[index]);
+        const auto own_part = tests.m_sum[index] - common_weight * common[index];
+        if (is_borne_out && own_part / sick_sum[index] > worst.m_value) {
+            worst = {own_part / sick_sum[index], static_cast<symptom>(index)};
         }
     }
     return worst;
--- a/libraries/libpolicy/health/suspicion.h
+++ b/libraries/libpolicy/health/suspicion.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <vector>
 
 namespace chivevane::health {
 
@@ -24,6 +25,15 @@
     std::array<double, symptom_count> m_expected;  ///< Share of answers that show it.
 };
 
+/// How many of a peer's answers show a symptom.
+struct peer_share {
+    double m_showing = 0;
+    double m_requests = 0;
+};
+
+/// The share over all peers but the third that fares worst, which may be sick.
+double ordinary_share(std::vector<peer_share> peers);
+
 /// The reference for an upstream from the windows of all its peers on the same route.
 peer_reference refer_to(std::span<const evidence_window* const> peers);
 
@@ -52,8 +62,12 @@
 
 /// The worst sum, as far as it exceeds what befalls the peers as well, relative to the bound of its
 /// test, where the recent answers bear it out; 1 and more is sick.
-double severity_of(const suspicion& tests, const std::array<double, symptom_count>& common,
-                   const symptom_counts& recent);
+struct severity {
+    double m_value = 0;
+    symptom m_symptom = symptom::failing; ///< The one that is worst.
+};
+severity severity_of(const suspicion& tests, const std::array<double, symptom_count>& common,
+                     const symptom_counts& recent);
 
 /// The largest share of the recent answers that show a symptom beyond what the peers show, 0 to 1.
 double excess_of(const symptom_counts& recent);
