--- /dev/null
+++ b/libraries/libhost/exchange_table.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "libbase/instant.h"
+#include "libhttp/http_server.h"
+#include "libpolicy/identifiers.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace chivevane {
+
+/// An exchange that the reducer has not ended: where to answer it, and its body.
+struct held_exchange {
+    http_server* m_server = nullptr;
+    std::shared_ptr<const std::string> m_body;
+    instant m_received_at;
+    std::uint16_t m_status = 0; ///< Of the answer that is being relayed.
+};
+
+/// The exchanges of all listeners of this process.
+using exchange_table = std::unordered_map<exchange_id, held_exchange>;
+
+} // namespace chivevane
