libpolicy: Hand on the units of holders that must have stopped

A dead host's share of every organisation was lost until an operator spoke. A remover marks the entry, sees that a majority of the witnesses know of it, waits until all leases under the old authority must have ended, and removes it. With the store away nobody is removed and holders that reach their witnesses go on.

Also: a broker that seems silent stays in the ranking, as the last; with two lost datagrams a host had refused everything for 0.5 s. Reports of closed loans go out twice, since one lost report idled its room for 150 ms.

--- /dev/null
+++ b/libraries/libpolicy/limits/authority.cpp
@@ -0,0 +1,270 @@
+#include "libpolicy/limits/authority.h"
+
+#include "libbase/rendezvous.h"
+#include "libpolicy/limits/roster.h"
+#include "libpolicy/membership/membership.h"
+
+#include <algorithm>
+
+namespace chivevane::limits {
+
+namespace {
+
+constexpr duration mark_delay = 1s;    // On top of what membership takes to call a host dead.
+constexpr duration remark_delay = 30s; // A holder that took its mark off is left alone for so long.
+constexpr duration contact_interval = 600ms; // Reads of the store by a host without witnesses.
+constexpr std::size_t fewest_witnesses = 3;  // Fewer hosts could not lose one.
+constexpr std::size_t witnesses_per_datacentre = 3;
+
+/// A marked holder has stopped this long after its witnesses refused: its authority has ended, the
+/// leases given under it, and the loans given under them.
+constexpr duration removal_wait =
+    with_margin(authority_length) + with_margin(lease_duration) + with_margin(loan_lifetime);
+
+/// When the request was sent that a majority of `witnesses` answered.
+instant majority_vouched_at(const authority_state& authority,
+                            const std::vector<host_identity>& witnesses)
+{
+    std::vector<instant> times;
+    for (const auto& witness : witnesses) {
+        const auto found = authority.m_vouched_at.find(witness);
+        times.push_back(found == authority.m_vouched_at.end() ? instant::min() : found->second);
+    }
+    const auto majority = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), majority, times.end(), std::greater<>());
+    return *majority;
+}
+
+instant vouched_until(const authority_state& authority, const std::vector<host_identity>& witnesses)
+{
+    if (witnesses.empty()) {
+        return instant::max(); // Nobody removes a holder without witnesses.
+    }
+    const auto asked_at = majority_vouched_at(authority, witnesses);
+    return asked_at == instant::min() ? asked_at : asked_at + authority_length;
+}
+
+bool is_fenced(const authority_state& authority, const roster_entry& entry)
+{
+    const auto knowing = std::count_if(
+        entry.m_witnesses.begin(), entry.m_witnesses.end(), [&](const host_identity& witness) {
+            const auto known = authority.m_known_versions.find(witness);
+            return witness != entry.m_host && known != authority.m_known_versions.end() &&
+                   known->second >= entry.m_mark;
+        });
+    return static_cast<std::size_t>(knowing) > entry.m_witnesses.size() / 2;
+}
+
+bool is_removable(const limits_state& state, const roster_entry& entry, instant now)
+{
+    const auto removal = state.m_authority.m_removals.find(entry.m_host);
+    return entry.m_mark != 0 && removal != state.m_authority.m_removals.end() &&
+           removal->second.m_mark == entry.m_mark && removal->second.m_fenced_at &&
+           now >= *removal->second.m_fenced_at + removal_wait;
+}
+
+bool is_to_be_marked(const limits_state& state, const roster_entry& entry, instant now)
+{
+    const auto missing = state.m_authority.m_missing_since.find(entry.m_host);
+    return entry.m_mark == 0 && !entry.m_witnesses.empty() &&
+           missing != state.m_authority.m_missing_since.end() &&
+           now >= missing->second + mark_delay;
+}
+
+/// Candidates for witnesses of `self` in an order of its own.
+std::vector<const member*> ranked_candidates(const std::string& self,
+                                             const membership_state& members)
+{
+    std::vector<const member*> candidates;
+    for (const auto& [name, peer] : members.m_members) {
+        if (name != self && membership::is_usable(peer)) {
+            candidates.push_back(&peer);
+        }
+    }
+    const auto weight = [&](const member* peer) {
+        return stable_hash(peer->m_latest.m_identity.m_name, stable_hash(self));
+    };
+    std::sort(candidates.begin(), candidates.end(),
+              [&](const auto* a, const auto* b) { return weight(a) < weight(b); });
+    return candidates;
+}
+
+std::vector<host_identity> pick_witnesses(context& surroundings,
+                                          const std::vector<const member*>& candidates)
+{
+    const auto& own_datacentre = surroundings.m_settings.m_datacentre;
+    const bool is_spread =
+        std::any_of(candidates.begin(), candidates.end(), [&](const member* peer) {
+            return peer->m_latest.m_datacentre != own_datacentre;
+        });
+    std::map<std::string, std::size_t> taken{{own_datacentre, 1}};
+    std::vector<host_identity> witnesses{surroundings.m_settings.m_self};
+    for (const auto* peer : candidates) {
+        auto& count = taken[peer->m_latest.m_datacentre];
+        if (witnesses.size() < witness_count && (!is_spread || count < witnesses_per_datacentre)) {
+            ++count;
+            witnesses.push_back(peer->m_latest.m_identity);
+        }
+    }
+    return witnesses;
+}
+
+void note_missing(limits_state& state, context& surroundings, const membership_state& members)
+{
+    auto& missing = state.m_authority.m_missing_since;
+    for (const auto& entry : state.m_roster.m_record.m_entries) {
+        if (entry.m_host == surroundings.m_settings.m_self || is_alive(members, entry.m_host)) {
+            missing.erase(entry.m_host);
+        }
+        else {
+            missing.try_emplace(entry.m_host, surroundings.m_now);
+        }
+    }
+}
+
+/// Follows the marks in the record. One that was taken off delays the next.
+void follow_marks(limits_state& state, instant now)
+{
+    auto& authority = state.m_authority;
+    for (const auto& entry : state.m_roster.m_record.m_entries) {
+        const auto known = authority.m_removals.find(entry.m_host);
+        if (entry.m_mark == 0 && known != authority.m_removals.end()) {
+            authority.m_removals.erase(known);
+            authority.m_missing_since.insert_or_assign(entry.m_host, now + remark_delay);
+        }
+        else if (entry.m_mark != 0) {
+            auto& removal = authority.m_removals[entry.m_host];
+            if (removal.m_mark != entry.m_mark) {
+                removal = {entry.m_mark, std::nullopt};
+            }
+            if (!removal.m_fenced_at && is_fenced(authority, entry)) {
+                removal.m_fenced_at = now;
+            }
+        }
+    }
+    std::erase_if(authority.m_removals, [&](const auto& removal) {
+        return find_entry(state.m_roster.m_record, removal.first) == nullptr;
+    });
+}
+
+bool has_removal_due(const limits_state& state, instant now)
+{
+    const auto& entries = state.m_roster.m_record.m_entries;
+    return std::any_of(entries.begin(), entries.end(), [&](const roster_entry& entry) {
+        return is_removable(state, entry, now) || is_to_be_marked(state, entry, now);
+    });
+}
+
+bool needs_contact(const limits_state& state, context& surroundings)
+{
+    const auto& self = surroundings.m_settings.m_self;
+    const auto* const entry = find_entry(state.m_roster.m_record, self);
+    return entry != nullptr &&
+           vouched_until(state.m_authority, entry->m_witnesses) <
+               surroundings.m_now + authority_length / 2 &&
+           (!state.m_authority.m_store_contact ||
+            surroundings.m_now - *state.m_authority.m_store_contact > contact_interval);
+}
+
+} // namespace
+
+bool is_authorised(const limits_state& state, instant now)
+{
+    return now < state.m_authority.m_valid_until;
+}
+
+void update_authority(limits_state& state)
+{
+    auto& authority = state.m_authority;
+    const auto& own = state.m_roster.m_own_witnesses;
+    auto until = vouched_until(authority, own);
+    for (const auto& other : authority.m_others) {
+        until = std::min(until, vouched_until(authority, other));
+    }
+    if (authority.m_store_contact) {
+        until = std::max(until, *authority.m_store_contact + authority_length);
+    }
+    authority.m_valid_until = until;
+}
+
+bool vouches_for(const limits_state& state, context& surroundings, const host_identity& holder)
+{
+    const auto* const entry = find_entry(state.m_roster.m_record, holder);
+    if (entry == nullptr || entry->m_mark != 0) {
+        return false;
+    }
+    const auto& witnesses = entry->m_witnesses;
+    return std::find(witnesses.begin(), witnesses.end(), surroundings.m_settings.m_self) !=
+           witnesses.end();
+}
+
+std::vector<host_identity> choose_witnesses(const limits_state& state, context& surroundings,
+                                            const membership_state& members)
+{
+    const auto& self = surroundings.m_settings.m_self;
+    const auto candidates = ranked_candidates(self.m_name, members);
+    const auto& present = state.m_roster.m_own_witnesses;
+    const auto gone =
+        std::count_if(present.begin(), present.end(), [&](const host_identity& witness) {
+            return witness != self && !is_alive(members, witness);
+        });
+    const std::size_t tolerated = present.size() >= witness_count ? 1 : 0;
+    const auto wanted = std::min(witness_count, candidates.size() + 1);
+    const bool is_enough = present.size() >= wanted && static_cast<std::size_t>(gone) <= tolerated;
+    if (is_enough || wanted < fewest_witnesses) {
+        return present;
+    }
+    return pick_witnesses(surroundings, candidates);
+}
+
+void plan_removals(limits_state& state, context& surroundings, const membership_state& members,
+                   roster_record& record)
+{
+    if (!is_caretaker(surroundings, members)) {
+        return;
+    }
+    for (const auto& entry : state.m_roster.m_record.m_entries) {
+        if (is_removable(state, entry, surroundings.m_now)) {
+            remove_entry(record, entry.m_host);
+        }
+        else if (is_to_be_marked(state, entry, surroundings.m_now)) {
+            mark_entry(record, entry.m_host, state.m_roster.m_version + 1);
+        }
+    }
+}
+
+void watch_holders(limits_state& state, context& surroundings, const membership_state& members)
+{
+    note_missing(state, surroundings, members);
+    state.m_authority.m_known_versions[surroundings.m_settings.m_self] = state.m_roster.m_version;
+    follow_marks(state, surroundings.m_now);
+    const bool has_new_witnesses =
+        state.m_roster.m_units > 0 &&
+        choose_witnesses(state, surroundings, members) != state.m_roster.m_own_witnesses;
+    if (needs_contact(state, surroundings)) {
+        require_roster_read(state, surroundings);
+    }
+    else if (has_new_witnesses ||
+             (has_removal_due(state, surroundings.m_now) && is_caretaker(surroundings, members))) {
+        wake_roster(state, surroundings);
+    }
+}
+
+bool is_alive(const membership_state& members, const host_identity& host)
+{
+    const auto* const peer = membership::find_member(members, host.m_name);
+    return peer != nullptr && membership::is_usable(*peer) && peer->m_latest.m_identity == host;
+}
+
+bool is_caretaker(context& surroundings, const membership_state& members)
+{
+    std::vector<std::string> hosts;
+    for (const auto& [name, peer] : members.m_members) {
+        if (membership::is_usable(peer)) {
+            hosts.push_back(name);
+        }
+    }
+    return rendezvous_owner("roster", hosts) == surroundings.m_settings.m_self.m_name;
+}
+
+} // namespace chivevane::limits
--- a/libraries/libpolicy/limits/borrowing.cpp
+++ b/libraries/libpolicy/limits/borrowing.cpp
@@ -18,9 +18,11 @@
 constexpr duration demand_window = 250ms;   // Follows demand that moves every second.
 constexpr duration foreseen_demand = 60ms;  // Several round trips and a report.
 constexpr duration silence_penalty = 500ms; // A broker that did not answer is asked last so long.
+constexpr double idle_gaps = 5; // Mean gaps between requests without one: demand went elsewhere.
 constexpr duration account_timeout = 5s;
-constexpr std::uint32_t tries_per_broker = 2;
-constexpr std::size_t uses_per_report = 40; // About 26 bytes each in a datagram.
+constexpr std::uint32_t tries_per_broker = 3; // Losing all of them is rare at 1% loss.
+constexpr std::uint32_t reports_per_loan = 2; // One lost alone would idle its room for 150 ms.
+constexpr std::size_t uses_per_report = 40;   // About 26 bytes each in a datagram.
 
 /// A broker with less than this has not taken over yet, or not any more.
 constexpr std::uint32_t broker_units = total_units / 2;
@@ -256,6 +258,15 @@
     ask_next(state, surroundings, members, organisation, account);
 }
 
+/// Gives loans back early once the demand they were for has gone elsewhere.
+void return_idle_loans(borrowing_state& borrowing, borrower_account& account, instant now)
+{
+    const auto patience = from_seconds(idle_gaps / std::max(1.0, account.m_demand));
+    while (!account.m_open_loans.empty() && now - account.m_demand_at > patience) {
+        close_loan(borrowing, account, account.m_open_loans.front(), now);
+    }
+}
+
 /// Repeats the request of one organisation and ends the waiting that took too long.
 void check_account(limits_state& state, context& surroundings, const membership_state& members,
                    std::string_view organisation, borrower_account& account)
@@ -268,7 +279,9 @@
         account.m_retry_after = 1s;
         refuse_waiting(state, surroundings, organisation, account, 1);
     }
-    account.m_is_busy = account.m_pending.has_value() || !account.m_waiting.empty();
+    return_idle_loans(state.m_borrowing, account, surroundings.m_now);
+    account.m_is_busy = account.m_pending.has_value() || !account.m_waiting.empty() ||
+                        !account.m_open_loans.empty();
 }
 
 void expire_taken_loans(borrowing_state& borrowing, instant now)
@@ -303,12 +316,14 @@
                 use_of(id, loan.m_spent, loan.m_last_spent_at, loan_phase::open, now));
         }
     }
-    for (const auto& loan : borrowing.m_closed) {
+    for (auto& loan : borrowing.m_closed) {
+        ++loan.m_times_reported;
         uses[loan.m_lender].push_back(
             use_of(loan.m_loan, loan.m_spent, loan.m_last_spent_at, loan_phase::closed, now));
     }
     borrowing.m_unreported.clear();
-    borrowing.m_closed.clear();
+    std::erase_if(borrowing.m_closed,
+                  [](const auto& loan) { return loan.m_times_reported >= reports_per_loan; });
     return uses;
 }
 
@@ -380,6 +395,7 @@
     account.m_pending.reset();
     if (response.m_tokens > 0) {
         open_loan(borrowing, account, pending, response);
+        mark_busy(borrowing, account, found->first, now);
     }
     if (response.m_tokens < pending.m_request.m_needed + pending.m_request.m_wanted) {
         account.m_foresee_after = now + asking_interval;
@@ -426,7 +442,11 @@
         return;
     }
     borrowing.m_next_report = instant::max();
-    for (const auto& [lender, uses] : collect_uses(borrowing, surroundings.m_now)) {
+    const auto all_uses = collect_uses(borrowing, surroundings.m_now);
+    if (!borrowing.m_closed.empty()) {
+        schedule(borrowing.m_next_report, surroundings.m_now + report_interval);
+    }
+    for (const auto& [lender, uses] : all_uses) {
         const auto* const peer = membership::find_member(members, lender);
         for (std::size_t i = 0; peer != nullptr && i < uses.size(); i += uses_per_report) {
             const auto end = std::min(uses.size(), i + uses_per_report);
--- a/libraries/libpolicy/limits/borrowing_state.h
+++ b/libraries/libpolicy/limits/borrowing_state.h
@@ -58,12 +58,13 @@
     instant m_expires_at;
 };
 
-/// A loan given up or spent whole, that was not reported yet.
+/// A loan given up or spent whole, that is still to be reported.
 struct closed_loan {
     std::uint64_t m_loan = 0;
     std::string m_lender;
     std::uint32_t m_spent = 0;
     instant m_last_spent_at;
+    std::uint32_t m_times_reported = 0;
 };
 
 /// When a loan to this host runs out.
@@ -77,7 +78,7 @@
     std::unordered_map<std::string, borrower_account, string_hash, std::equal_to<>> m_accounts;
     std::unordered_map<std::uint64_t, taken_loan> m_loans;
     std::unordered_map<std::uint64_t, std::string> m_organisation_of; ///< By waiting ticket.
-    std::vector<std::string> m_busy; ///< Organisations with tickets or a pending loan.
+    std::vector<std::string> m_busy; ///< Organisations with tickets or loans.
     std::deque<taken_loan_expiry> m_expiries;
     std::set<std::uint64_t> m_abandoned; ///< Asked for in vain; an answer that comes is given back.
     std::vector<std::uint64_t> m_unreported; ///< Open loans spent from since their last report.
--- a/libraries/libpolicy/limits/limits.cpp
+++ b/libraries/libpolicy/limits/limits.cpp
@@ -27,6 +27,14 @@
     }
 }
 
+void note_version(limits_state& state, context& surroundings, const host_identity& sender,
+                  std::uint64_t version)
+{
+    auto& known = state.m_authority.m_known_versions[sender];
+    known = std::max(known, version);
+    hint_roster_version(state, surroundings, version);
+}
+
 } // namespace
 
 void start(limits_state& state, context& surroundings)
@@ -76,14 +84,14 @@
 void on_share_request(limits_state& state, context& surroundings, const membership_state& members,
                       const host_identity& sender, const share_request& request)
 {
-    hint_roster_version(state, surroundings, request.m_roster_version);
+    note_version(state, surroundings, sender, request.m_roster_version);
     answer_share_request(state, surroundings, members, sender, request);
 }
 
 void on_share_response(limits_state& state, context& surroundings, const host_identity& sender,
                        const share_response& response)
 {
-    hint_roster_version(state, surroundings, response.m_roster_version);
+    note_version(state, surroundings, sender, response.m_roster_version);
     take_shares(state, surroundings, sender, response);
 }
 
--- a/libraries/libpolicy/limits/limits_state.h
+++ b/libraries/libpolicy/limits/limits_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libbase/instant.h"
+#include "libpolicy/limits/authority_state.h"
 #include "libpolicy/limits/borrowing_state.h"
 #include "libpolicy/limits/loan_book_state.h"
 #include "libpolicy/limits/roster_state.h"
@@ -15,6 +16,7 @@
 struct limits_state {
     std::vector<slot_pool> m_pools{slot_count}; ///< What this host may use, by slot.
     roster_state m_roster;
+    authority_state m_authority;
     share_lease_state m_leases;
     loan_book_state m_loan_book;
     borrowing_state m_borrowing;
--- a/libraries/libpolicy/limits/roster.cpp
+++ b/libraries/libpolicy/limits/roster.cpp
@@ -1,8 +1,7 @@
 #include "libpolicy/limits/roster.h"
 
-#include "libbase/rendezvous.h"
+#include "libpolicy/limits/authority.h"
 #include "libpolicy/limits/share_leases.h"
-#include "libpolicy/membership/membership.h"
 
 #include <algorithm>
 
@@ -103,6 +102,17 @@
     });
 }
 
+/// Keeps the lists of own writes that may still take effect.
+void adopt_own_witnesses(limits_state& state, context& surroundings)
+{
+    auto& roster = state.m_roster;
+    const auto* const entry = find_entry(roster.m_record, surroundings.m_settings.m_self);
+    roster.m_own_witnesses = entry == nullptr ? std::vector<host_identity>{} : entry->m_witnesses;
+    if (!roster.m_unsettled_version) {
+        state.m_authority.m_others.clear();
+    }
+}
+
 /// Takes a newer record in use. Older ones come from answers that were overtaken.
 void adopt(limits_state& state, context& surroundings, roster_record record, std::uint64_t version,
            instant since)
@@ -125,12 +135,26 @@
         roster.m_phase = roster_phase::left;
     }
     forget_removed(roster);
+    adopt_own_witnesses(state, surroundings);
+    update_authority(state);
     use_listed_units(state, surroundings, since);
     shed_surplus(state, surroundings);
     call_at(roster, surroundings.m_now + spread(surroundings, call_spread));
 }
 
-void adopt_entry(limits_state& state, context& surroundings, const store_entry& entry)
+/// The store had `record` at or after `asked_at`, as the newest.
+void note_contact(limits_state& state, context& surroundings, const roster_record& record,
+                  std::uint64_t version, instant asked_at)
+{
+    const auto* const entry = find_entry(record, surroundings.m_settings.m_self);
+    if (version >= state.m_roster.m_version && entry != nullptr && entry->m_mark == 0) {
+        state.m_authority.m_store_contact = asked_at;
+        update_authority(state);
+    }
+}
+
+void adopt_entry(limits_state& state, context& surroundings, const store_entry& entry,
+                 instant asked_at)
 {
     auto decoded = decode_roster(entry.m_value);
     if (is_error(decoded)) {
@@ -139,26 +163,10 @@
                                         record_target::timeline_and_log});
         return;
     }
+    note_contact(state, surroundings, value_of(decoded), entry.m_version, asked_at);
     adopt(state, surroundings, value_of(std::move(decoded)), entry.m_version, surroundings.m_now);
 }
 
-bool is_caretaker(context& surroundings, const membership_state& members)
-{
-    std::vector<std::string> hosts;
-    for (const auto& [name, peer] : members.m_members) {
-        if (membership::is_usable(peer)) {
-            hosts.push_back(name);
-        }
-    }
-    return rendezvous_owner("roster", hosts) == surroundings.m_settings.m_self.m_name;
-}
-
-bool is_alive(const membership_state& members, const host_identity& host)
-{
-    const auto* const peer = membership::find_member(members, host.m_name);
-    return peer != nullptr && membership::is_usable(*peer) && peer->m_latest.m_identity == host;
-}
-
 void remove_declared(roster_state& roster, instant now, const membership_state& members,
                      roster_record& record)
 {
@@ -177,12 +185,14 @@
 }
 
 /// The record as this host would have it.
-roster_record plan_record(roster_state& roster, context& surroundings,
+roster_record plan_record(limits_state& state, context& surroundings,
                           const membership_state& members)
 {
+    auto& roster = state.m_roster;
     const auto& self = surroundings.m_settings.m_self;
     auto record = roster.m_record;
     remove_declared(roster, surroundings.m_now, members, record);
+    plan_removals(state, surroundings, members, record);
     if (roster.m_phase != roster_phase::member) {
         if (is_surplus_free(roster, surroundings.m_now)) {
             remove_entry(record, self);
@@ -190,6 +200,8 @@
     }
     else {
         add_entry(record, self);
+        mark_entry(record, self, 0);
+        assign_witnesses(record, self, choose_witnesses(state, surroundings, members));
         if (is_surplus_free(roster, surroundings.m_now)) {
             release_units(record, self, roster.m_kept_units);
         }
@@ -204,6 +216,7 @@
                store_operation operation)
 {
     call.m_operation = next_id(surroundings);
+    call.m_sent_at = surroundings.m_now;
     emit(surroundings, call_store{call.m_operation, store_purpose::roster, std::move(operation)});
     roster.m_call = std::move(call);
     roster.m_next_call = instant::max();
@@ -214,11 +227,18 @@
     send_call(roster, surroundings, {}, store_read{std::string{roster_key}});
 }
 
-void write_roster(roster_state& roster, context& surroundings, roster_record record)
+void write_roster(limits_state& state, context& surroundings, roster_record record)
 {
+    auto& roster = state.m_roster;
+    const auto* const entry = find_entry(record, surroundings.m_settings.m_self);
+    if (entry != nullptr && entry->m_witnesses != roster.m_own_witnesses) {
+        state.m_authority.m_others.push_back(entry->m_witnesses); // It may be read from now on.
+        update_authority(state);
+    }
     store_compare_and_swap write{std::string{roster_key}, roster.m_version, encode_roster(record)};
     send_call(roster, surroundings,
-              {0, roster_call_kind::write, roster.m_version, std::move(record)}, std::move(write));
+              {0, roster_call_kind::write, {}, roster.m_version, std::move(record)},
+              std::move(write));
 }
 
 void on_failure(roster_state& roster, context& surroundings, const roster_call& call,
@@ -257,17 +277,18 @@
     roster.m_must_read = false;
     if (const auto* const entries = std::get_if<store_entries>(&outcome)) {
         for (const auto& entry : entries->m_entries) {
-            adopt_entry(state, surroundings, entry);
+            adopt_entry(state, surroundings, entry, call.m_sent_at);
         }
         call_at(roster, surroundings.m_now);
     }
     else if (const auto* const conflict = std::get_if<store_conflict>(&outcome)) {
-        adopt_entry(state, surroundings, conflict->m_current);
+        adopt_entry(state, surroundings, conflict->m_current, call.m_sent_at);
     }
     else if (const auto* const written = std::get_if<store_written>(&outcome)) {
         // Nobody held a share before the record was made: all buckets are full.
         const auto since =
             call.m_expected_version == 0 ? surroundings.m_now - untouched_past : surroundings.m_now;
+        note_contact(state, surroundings, call.m_proposed, written->m_version, call.m_sent_at);
         adopt(state, surroundings, call.m_proposed, written->m_version, since);
     }
 }
@@ -283,8 +304,8 @@
         read_roster(roster, surroundings);
         return;
     }
-    if (auto record = plan_record(roster, surroundings, members); record != roster.m_record) {
-        write_roster(roster, surroundings, std::move(record));
+    if (auto record = plan_record(state, surroundings, members); record != roster.m_record) {
+        write_roster(state, surroundings, std::move(record));
     }
     else if (!is_surplus_free(roster, surroundings.m_now)) {
         call_at(roster, roster.m_surplus_free_at);
@@ -320,7 +341,17 @@
 
 void wake_roster(limits_state& state, context& surroundings)
 {
-    call_at(state.m_roster, surroundings.m_now + spread(surroundings, call_spread));
+    if (state.m_roster.m_failures == 0) {
+        call_at(state.m_roster, surroundings.m_now + spread(surroundings, call_spread));
+    }
+}
+
+void require_roster_read(limits_state& state, context& surroundings)
+{
+    if (!state.m_roster.m_call) {
+        state.m_roster.m_must_read = true;
+        wake_roster(state, surroundings);
+    }
 }
 
 } // namespace chivevane::limits
--- a/libraries/libpolicy/limits/roster.h
+++ b/libraries/libpolicy/limits/roster.h
@@ -10,7 +10,8 @@
 /// Who holds which share. The units of an entry are handed on in three ways only:
 /// - its holder stops using them, waits until nobody it lent them to can, and then lowers its
 /// entry;
-/// - an operator declares the holder dead.
+/// - an operator declares the holder dead;
+/// - the holder must have stopped, since its witnesses refuse it (authority.h).
 /// A holder uses at most what the newest record it has seen gives it. While a write of its own may
 /// still take effect, it uses no more than that write leaves it.
 namespace chivevane::limits {
@@ -37,7 +38,10 @@
 /// Notes an operator's word that all processes under `name` that hold units have ended.
 void declare_holder_dead(limits_state& state, context& surroundings, std::string_view name);
 
-/// Makes a call due soon, for something that came up.
+/// Makes a read due soon, unless the store does not answer and one is due later anyway.
+void require_roster_read(limits_state& state, context& surroundings);
+
+/// Makes a call due soon, for something that came up, unless the store does not answer.
 void wake_roster(limits_state& state, context& surroundings);
 
 } // namespace chivevane::limits
--- a/libraries/libpolicy/limits/roster_record.cpp
+++ b/libraries/libpolicy/limits/roster_record.cpp
@@ -14,6 +14,26 @@
             "Restore the roster in the store from a backup, or stop all hosts and delete it."};
 }
 
+nlohmann::json encode_identity(const host_identity& host)
+{
+    return {{"host", host.m_name}, {"incarnation", host.m_incarnation}};
+}
+
+host_identity decode_identity(const nlohmann::json& json)
+{
+    return {json.at("host").get<std::string>(), json.at("incarnation").get<std::uint64_t>()};
+}
+
+roster_entry decode_entry(const nlohmann::json& json)
+{
+    roster_entry entry{decode_identity(json), json.at("units").get<std::uint32_t>()};
+    for (const auto& witness : json.at("witnesses")) {
+        entry.m_witnesses.push_back(decode_identity(witness));
+    }
+    entry.m_mark = json.at("mark").get<std::uint64_t>();
+    return entry;
+}
+
 std::uint64_t sum_of(const roster_record& record)
 {
     return std::accumulate(
@@ -48,9 +68,15 @@
 {
     auto entries = nlohmann::json::array();
     for (const auto& entry : record.m_entries) {
+        auto witnesses = nlohmann::json::array();
+        for (const auto& witness : entry.m_witnesses) {
+            witnesses.push_back(encode_identity(witness));
+        }
         entries.push_back({{"host", entry.m_host.m_name},
                            {"incarnation", entry.m_host.m_incarnation},
-                           {"units", entry.m_units}});
+                           {"units", entry.m_units},
+                           {"witnesses", witnesses},
+                           {"mark", entry.m_mark}});
     }
     return nlohmann::json{{"free", record.m_free_units}, {"entries", entries}}.dump();
 }
@@ -62,9 +88,7 @@
         const auto json = nlohmann::json::parse(text);
         record.m_free_units = json.at("free").get<std::uint32_t>();
         for (const auto& item : json.at("entries")) {
-            record.m_entries.push_back(
-                {{item.at("host").get<std::string>(), item.at("incarnation").get<std::uint64_t>()},
-                 item.at("units").get<std::uint32_t>()});
+            record.m_entries.push_back(decode_entry(item));
         }
     }
     catch (const nlohmann::json::exception& failure) {
@@ -110,6 +134,21 @@
     }
 }
 
+void mark_entry(roster_record& record, const host_identity& host, std::uint64_t mark)
+{
+    if (const auto entry = locate(record, host); entry != record.m_entries.end()) {
+        entry->m_mark = mark;
+    }
+}
+
+void assign_witnesses(roster_record& record, const host_identity& host,
+                      std::vector<host_identity> witnesses)
+{
+    if (const auto entry = locate(record, host); entry != record.m_entries.end()) {
+        entry->m_witnesses = std::move(witnesses);
+    }
+}
+
 void distribute_free_units(roster_record& record)
 {
     std::vector<roster_entry*> poorest_first;
--- a/libraries/libpolicy/limits/roster_record.h
+++ b/libraries/libpolicy/limits/roster_record.h
@@ -15,6 +15,8 @@
 struct roster_entry {
     host_identity m_host;
     std::uint32_t m_units = 0;
+    std::vector<host_identity> m_witnesses; ///< Chosen by the holder; see authority.h.
+    std::uint64_t m_mark = 0; ///< Version of the record that marked it for removal; 0 means none.
 
     bool operator==(const roster_entry&) const = default;
 };
@@ -48,6 +50,13 @@
 /// Lowers the entry of `host` to `units`; the difference becomes free.
 void release_units(roster_record& record, const host_identity& host, std::uint32_t units);
 
+/// Marks the entry of `host` for removal by the record of version `mark`; 0 takes the mark off.
+void mark_entry(roster_record& record, const host_identity& host, std::uint64_t mark);
+
+/// Replaces the witnesses of `host`.
+void assign_witnesses(roster_record& record, const host_identity& host,
+                      std::vector<host_identity> witnesses);
+
 /// Gives all free units to the hosts with the least, as evenly as that allows.
 void distribute_free_units(roster_record& record);
 
--- a/libraries/libpolicy/limits/roster_state.h
+++ b/libraries/libpolicy/limits/roster_state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace chivevane {
 
@@ -16,6 +17,7 @@
 struct roster_call {
     std::uint64_t m_operation = 0;
     roster_call_kind m_kind = roster_call_kind::read;
+    instant m_sent_at;
     std::uint64_t m_expected_version = 0;
     roster_record m_proposed; ///< Of a write.
 };
@@ -29,6 +31,7 @@
     std::uint64_t m_version = 0;        ///< Of `m_record`; 0 before the first read.
     std::uint64_t m_hinted_version = 0; ///< The newest that any host was heard to know.
     std::optional<std::uint64_t> m_unsettled_version; ///< A write at it may yet take effect.
+    std::vector<host_identity> m_own_witnesses;       ///< Of this host's entry in `m_record`.
     std::uint32_t m_units = 0; ///< What this host uses and lends; at most its entry's.
     std::uint32_t m_kept_units = total_units; ///< What it wants to keep; the rest is given away.
     instant m_surplus_free_at;                ///< Nobody uses more than `m_units` from here on.
--- a/libraries/libpolicy/limits/share_lease_state.h
+++ b/libraries/libpolicy/limits/share_lease_state.h
@@ -29,6 +29,7 @@
 /// The lending and borrowing of shares by slot.
 struct share_lease_state {
     std::vector<std::optional<lent_slot>> m_lent{slot_count};
+    std::vector<std::uint8_t> m_has_own_part = std::vector<std::uint8_t>(slot_count);
     std::vector<std::vector<std::string>> m_ranking{slot_count}; ///< Broker first, then stand-ins.
     std::vector<std::string> m_ranked_hosts;                     ///< What `m_ranking` is made of.
     std::map<std::string, instant, std::less<>> m_heard_at;      ///< Last share request, by host.
--- a/libraries/libpolicy/limits/share_leases.cpp
+++ b/libraries/libpolicy/limits/share_leases.cpp
@@ -2,6 +2,7 @@
 
 #include "libbase/rendezvous.h"
 
+#include "libpolicy/limits/authority.h"
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
@@ -21,21 +22,30 @@
     return sent_at + lease_duration - with_margin(loan_lifetime);
 }
 
-void add_own_part(limits_state& state, context& surroundings, std::size_t slot, instant since)
+void remove_own_part(limits_state& state, context& surroundings, std::size_t slot)
 {
-    if (state.m_roster.m_units > 0) {
-        const share_part own{surroundings.m_settings.m_self, state.m_roster.m_units, since,
-                             instant::max()};
-        add_part(state.m_pools[slot], own, surroundings.m_now);
+    if (state.m_leases.m_has_own_part[slot] != 0) {
+        remove_part(state.m_pools[slot], surroundings.m_settings.m_self, surroundings.m_now);
+        state.m_leases.m_has_own_part[slot] = 0;
     }
 }
 
-void reclaim(limits_state& state, context& surroundings, std::size_t slot)
+/// Uses this host's own share of `slot` if it may; a share new in use earns from `since` on.
+void update_own_part(limits_state& state, context& surroundings, std::size_t slot, instant since)
 {
     auto& lent = state.m_leases.m_lent[slot];
     if (lent && lent->m_until <= surroundings.m_now) {
         lent.reset();
-        add_own_part(state, surroundings, slot, surroundings.m_now);
+    }
+    const auto units = state.m_roster.m_units;
+    if (lent || units == 0 || !is_authorised(state, surroundings.m_now)) {
+        remove_own_part(state, surroundings, slot);
+        return;
+    }
+    if (state.m_leases.m_has_own_part[slot] == 0) {
+        const share_part own{surroundings.m_settings.m_self, units, since, instant::max()};
+        add_part(state.m_pools[slot], own, surroundings.m_now);
+        state.m_leases.m_has_own_part[slot] = 1;
     }
 }
 
@@ -67,14 +77,15 @@
     return hosts;
 }
 
-void append_ranked(std::vector<std::string>& ranking, std::string_view slot_key,
-                   std::vector<std::string> hosts)
+/// The first `ranked_brokers` of `hosts` for a slot.
+std::vector<std::string> rank_hosts(std::string_view slot_key, std::vector<std::string> hosts)
 {
+    std::vector<std::string> ranking;
     while (!hosts.empty() && ranking.size() < ranked_brokers) {
-        const auto next = rendezvous_owner(slot_key, hosts);
-        ranking.emplace_back(next);
+        ranking.emplace_back(rendezvous_owner(slot_key, hosts));
         hosts.erase(std::find(hosts.begin(), hosts.end(), ranking.back()));
     }
+    return ranking;
 }
 
 void rank_brokers(share_lease_state& leases, context& surroundings, const membership_state& members)
@@ -89,9 +100,10 @@
     hosts.erase(parting, hosts.end());
     for (std::size_t slot = 0; slot < slot_count; ++slot) {
         const auto key = std::to_string(slot);
-        leases.m_ranking[slot].clear();
-        append_ranked(leases.m_ranking[slot], key, hosts);
-        append_ranked(leases.m_ranking[slot], key, silent);
+        auto ranking = rank_hosts(key, hosts);
+        const auto last = rank_hosts(key, silent); // The broker may be heard by others.
+        ranking.insert(ranking.end(), last.begin(), last.end());
+        leases.m_ranking[slot] = std::move(ranking);
     }
 }
 
@@ -115,6 +127,8 @@
     const share_request request{++leases.m_last_request, own_slots(leases, self),
                                 state.m_roster.m_version};
     leases.m_rounds.push_back({request.m_request, surroundings.m_now});
+    state.m_authority.m_vouched_at[surroundings.m_settings.m_self] = surroundings.m_now;
+    update_authority(state);
     while (surroundings.m_now >= usable_until(leases.m_rounds.front().m_sent_at)) {
         leases.m_rounds.pop_front();
     }
@@ -131,7 +145,8 @@
 {
     auto& pool = usable_pool(state, surroundings, slot);
     auto& lent = state.m_leases.m_lent[slot];
-    if ((lent && lent->m_broker != broker) || state.m_roster.m_units == 0) {
+    const bool is_taken = lent && lent->m_broker != broker;
+    if (is_taken || state.m_roster.m_units == 0 || !is_authorised(state, surroundings.m_now)) {
         return false;
     }
     if (!lent) {
@@ -139,7 +154,7 @@
         if (own == nullptr || !can_spare(pool, own->m_units)) {
             return false;
         }
-        remove_part(pool, surroundings.m_settings.m_self, surroundings.m_now);
+        remove_own_part(state, surroundings, slot);
     }
     lent = lent_slot{broker, surroundings.m_now + with_margin(lease_duration)};
     return true;
@@ -162,7 +177,7 @@
 {
     auto& pool = state.m_pools[slot];
     expire_parts(pool, surroundings.m_now);
-    reclaim(state, surroundings, slot);
+    update_own_part(state, surroundings, slot, surroundings.m_now);
     return pool;
 }
 
@@ -179,6 +194,7 @@
     }
     leases.m_next_round = surroundings.m_now + round_interval;
     rank_brokers(leases, surroundings, members);
+    watch_holders(state, surroundings, members);
     for (std::size_t slot = 0; slot < slot_count; ++slot) {
         usable_pool(state, surroundings, slot);
     }
@@ -201,7 +217,8 @@
             response.m_slots.push_back(slot);
         }
     }
-    if (!response.m_slots.empty()) {
+    response.m_vouches = vouches_for(state, surroundings, sender);
+    if (response.m_vouches || !response.m_slots.empty()) {
         emit(surroundings, send_datagram{peer->m_latest.m_address, std::move(response)});
     }
 }
@@ -213,8 +230,16 @@
     const auto round = std::find_if(rounds.begin(), rounds.end(), [&](const auto& known) {
         return known.m_request == response.m_request;
     });
-    if (round == rounds.end() || surroundings.m_now >= usable_until(round->m_sent_at) ||
-        response.m_units == 0 || response.m_units > total_units) {
+    if (round == rounds.end()) {
+        return;
+    }
+    if (response.m_vouches) {
+        auto& vouched_at = state.m_authority.m_vouched_at[sender];
+        vouched_at = std::max(vouched_at, round->m_sent_at);
+        update_authority(state);
+    }
+    if (surroundings.m_now >= usable_until(round->m_sent_at) || response.m_units == 0 ||
+        response.m_units > total_units) {
         return;
     }
     const share_part offered{sender, response.m_units, surroundings.m_now,
@@ -231,11 +256,9 @@
 {
     state.m_roster.m_units = units;
     for (std::size_t slot = 0; slot < slot_count; ++slot) {
-        auto& pool = usable_pool(state, surroundings, slot);
-        if (!state.m_leases.m_lent[slot]) {
-            remove_part(pool, surroundings.m_settings.m_self, surroundings.m_now);
-            add_own_part(state, surroundings, slot, since);
-        }
+        expire_parts(state.m_pools[slot], surroundings.m_now);
+        remove_own_part(state, surroundings, slot);
+        update_own_part(state, surroundings, slot, since);
     }
 }
 
--- a/libraries/libwire/loan_messages.h
+++ b/libraries/libwire/loan_messages.h
@@ -96,13 +96,14 @@
     std::uint32_t m_units = 0; ///< Size of the share, of `total_units`.
     std::vector<std::uint8_t> m_slots;
     std::uint64_t m_roster_version = 0; ///< The newest that the sender knows.
+    bool m_vouches = false; ///< The sender is a witness of the receiver and knows of no mark on it.
 
     bool operator==(const share_response&) const = default;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_request, m_units, m_slots, m_roster_version);
+        archive(m_request, m_units, m_slots, m_roster_version, m_vouches);
     }
 };
 
--- /dev/null
+++ b/tests/libpolicy/limits_roster_test.cpp
@@ -0,0 +1,186 @@
+#include "libpolicy/limits_fleet.h"
+
+#include "libpolicy/limits/authority.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+namespace {
+
+/// A fleet of twelve hosts in three data centres, whose shares were handed out evenly.
+struct roster_fleet : limits_fleet {
+    roster_fleet() : limits_fleet(fleet_options{.m_hosts = 12})
+    {
+        start_with_equal_shares();
+        run_until(2s);
+    }
+
+    void kill_seen_by_all(std::size_t dead)
+    {
+        kill(dead);
+        for (std::size_t i = 0; i < size(); ++i) {
+            set_view(i, dead, member_status::dead);
+        }
+    }
+
+    const roster_entry* entry_of(std::size_t index) const
+    {
+        m_read = stored_roster();
+        return limits::find_entry(m_read, {"host-" + pad(index), 1});
+    }
+
+    /// Units that running processes may use themselves now, beside those they lent.
+    std::uint32_t usable_units()
+    {
+        std::uint32_t sum = 0;
+        for (std::size_t i = 0; i < size(); ++i) {
+            const auto& state = host(i).m_limits;
+            const auto local = instant{48h + now()}; // The clocks of this fleet are exact.
+            sum += host(i).m_is_running && limits::is_authorised(state, local)
+                       ? state.m_roster.m_units
+                       : 0;
+        }
+        return sum;
+    }
+
+    static std::string pad(std::size_t index)
+    {
+        const auto digits = std::to_string(index);
+        return std::string(3 - digits.size(), '0') + digits;
+    }
+
+    mutable roster_record m_read;
+};
+
+constexpr duration removal_bound = 12s; // Detection is instant here; two record changes and a wait.
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(limits_roster, roster_fleet)
+
+BOOST_AUTO_TEST_CASE(a_leaving_host_hands_its_units_on)
+{
+    leave(3);
+    run_until(now() + 5s);
+    BOOST_TEST((entry_of(3) == nullptr));
+    BOOST_TEST(limits::has_left(host(3).m_limits));
+    BOOST_TEST(m_read.m_free_units == 0U);
+    BOOST_TEST(usable_units() == total_units);
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_host_loses_its_units_while_the_store_is_up)
+{
+    kill_seen_by_all(3);
+    run_until(now() + removal_bound);
+    BOOST_TEST((entry_of(3) == nullptr));
+    BOOST_TEST(usable_units() == total_units);
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_host_keeps_its_units_until_the_store_is_back)
+{
+    m_store_is_up = false;
+    kill_seen_by_all(3);
+    run_until(now() + 10min);
+    const auto calls = m_store_calls;
+    BOOST_TEST((entry_of(3) != nullptr));
+    BOOST_TEST(usable_units() == total_units - entry_of(3)->m_units);
+    BOOST_TEST(calls < 12U * 60U); // Backed off to 32 s each, from one a second.
+    m_store_is_up = true;
+    run_until(now() + 48s + removal_bound); // The longest backoff.
+    BOOST_TEST((entry_of(3) == nullptr));
+    BOOST_TEST(usable_units() == total_units);
+}
+
+BOOST_AUTO_TEST_CASE(a_replaced_host_loses_the_units_of_its_old_process)
+{
+    replace_host(3, false);
+    run_until(now() + removal_bound);
+    BOOST_TEST((entry_of(3) == nullptr));
+    BOOST_TEST(usable_units() == total_units);
+}
+
+BOOST_AUTO_TEST_CASE(an_old_process_that_reaches_the_store_keeps_its_units)
+{
+    replace_host(3, true);
+    for (int i = 0; i < 200; ++i) {
+        run_until(now() + 100ms);
+        BOOST_TEST_REQUIRE(usable_units() <= total_units);
+    }
+    BOOST_TEST((entry_of(3) != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_host_loses_its_units_and_wakes_up_without)
+{
+    for (std::size_t i = 0; i < size(); ++i) {
+        set_view(i, 3, i == 3 ? member_status::alive : member_status::dead);
+    }
+    pause(3, 20s);
+    run_until(now() + removal_bound);
+    BOOST_TEST((entry_of(3) == nullptr));
+    run_until(now() + removal_bound);
+    BOOST_TEST(usable_units() <= total_units);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_data_centre_loses_its_units)
+{
+    for (std::size_t i = 1; i < 12; i += 3) {
+        kill_seen_by_all(i);
+    }
+    run_until(now() + 3 * removal_bound);
+    for (std::size_t i = 1; i < 12; i += 3) {
+        BOOST_TEST((entry_of(i) == nullptr));
+    }
+    BOOST_TEST(usable_units() == total_units);
+}
+
+BOOST_AUTO_TEST_CASE(an_operator_hands_on_what_no_witness_can)
+{
+    limits_fleet pair{fleet_options{.m_hosts = 2}}; // Too few hosts to have witnesses.
+    pair.start_with_equal_shares();
+    pair.run_until(2s);
+    pair.kill(1);
+    pair.set_view(0, 1, member_status::dead);
+    pair.run_until(30s);
+    BOOST_TEST(pair.stored_roster().m_entries.size() == 2U);
+    pair.declare_dead(0, "host-001");
+    pair.run_until(31s);
+    BOOST_TEST(pair.stored_roster().m_entries.size() == 2U); // Its leases may be in use.
+    pair.run_until(33s);
+    BOOST_TEST(pair.host(0).m_limits.m_roster.m_units == total_units);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_fleet_shares_out_the_whole)
+{
+    limits_fleet fresh{fleet_options{.m_hosts = 8}};
+    for (std::size_t i = 0; i < 8; ++i) {
+        fresh.start_host(i);
+    }
+    fresh.run_until(30s);
+    const auto roster = fresh.stored_roster();
+    BOOST_TEST(roster.m_entries.size() == 8U);
+    for (const auto& entry : roster.m_entries) {
+        BOOST_TEST(entry.m_units >= total_units / 16);
+        BOOST_TEST(entry.m_units <= total_units / 4);
+        BOOST_TEST(entry.m_witnesses.size() == limits::witness_count);
+    }
+    BOOST_TEST(fresh.m_store_calls < 8U * 60U);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_a_share_lives_on_loans)
+{
+    m_store_is_up = false;
+    const auto fresh = replace_host(3, false);
+    m_organisations.push_back({"permits/parish", {20, 20}});
+    run_until(now() + 5s);
+    for (int i = 0; i < 10; ++i) {
+        request(fresh, 0);
+        run_until(now() + 100ms);
+    }
+    for (const auto& asked : m_requests) {
+        BOOST_TEST(asked.m_is_granted);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
