libadmin: Take the rollout from what hosts told of their documents

The API compared whole digests itself, so one change made the revision of every other host unknown until it had caught up. configuration::rollout follows the digests back through the history of changes and also knows the hosts that are behind; the API shows its answer for all members.

chivevanectl treats `not-done` of the store's refusals like `not-run`: it goes on to the next host, and says that nothing was changed.

--- a/libraries/libadmin/resource_json.cpp
+++ b/libraries/libadmin/resource_json.cpp
@@ -40,16 +40,15 @@
     return "invalid";
 }
 
-/// The revision that `peer` has in force, or null if this host cannot know it. Equal digests mean
-/// equal revisions of all documents.
-json_value revision_on(const admin_view& view, const member& peer, std::uint64_t own_revision)
+/// The revisions that hosts have in force, by host name; null where this host cannot know.
+json_value revisions_by_host(const admin_view& view, std::string_view name)
 {
-    const auto& node = view.m_node;
-    const bool is_self = peer.m_latest.m_identity.m_name == node.m_settings.m_self.m_name;
-    const bool is_same =
-        peer.m_status != member_status::dead &&
-        peer.m_latest.m_documents_digest == configuration::digest_of(node.m_configuration);
-    return is_self || is_same ? json_value(own_revision) : json_value(nullptr);
+    auto revisions = json_value::object();
+    for (const auto& known : configuration::rollout(view.m_node.m_configuration, name)) {
+        revisions[known.m_host] =
+            known.m_revision ? json_value(*known.m_revision) : json_value(nullptr);
+    }
+    return revisions;
 }
 
 json_value host_json(const admin_view& view, const member& peer)
@@ -151,12 +150,13 @@
 json_value rollout_json(const admin_view& view, const document_in_force& held)
 {
     const auto revision = held.m_stored.m_revision;
+    const auto revisions = revisions_by_host(view, held.m_stored.m_name);
     auto hosts = json_value::array();
     for (const auto& [name, peer] : view.m_node.m_membership.m_members) {
         hosts.push_back({{"host", name},
                          {"datacentre", peer.m_latest.m_datacentre},
                          {"status", name_of(peer.m_status)},
-                         {"revision", revision_on(view, peer, revision)}});
+                         {"revision", revisions.value(name, json_value(nullptr))}});
     }
     return {{"document", held.m_stored.m_name},
             {"revision", revision},
--- a/libraries/libcontrol/session.cpp
+++ b/libraries/libcontrol/session.cpp
@@ -27,7 +27,8 @@
         return error_kind::conflict;
     }
     if (status >= 500) {
-        return outcome == "not-run" ? error_kind::unavailable : error_kind::unknown_outcome;
+        const bool is_certain = outcome == "not-run" || outcome == "not-done";
+        return is_certain ? error_kind::unavailable : error_kind::unknown_outcome;
     }
     return error_kind::malformed;
 }
--- a/tests/libadmin/admin_test.cpp
+++ b/tests/libadmin/admin_test.cpp
@@ -45,9 +45,9 @@
         members["marsh-1"] = make_member("marsh-1", "marsh", member_status::alive);
         members["dike-1"] = make_member("dike-1", "dike", member_status::suspect);
         members["dike-2"] = make_member("dike-2", "dike", member_status::dead);
-        members["dike-1"].m_latest.m_documents_digest = digest;
+        m_node.m_configuration.m_own_name = "marsh-1";
+        m_node.m_configuration.m_digest_by_host["dike-1"] = static_cast<std::uint32_t>(digest);
         members["dike-1"].m_latest.m_upstreams.push_back({"tides-1", "tides", 4, 2, 5});
-        members["dike-2"].m_latest.m_documents_digest = digest;
         for (std::int64_t at = 1; at <= 3; ++at) {
             append_entry(m_timeline, {{at, 0}, "marsh-1", "tick", {{"n", std::to_string(at)}}});
         }
--- a/tests/libcontrol/fake_fleet.cpp
+++ b/tests/libcontrol/fake_fleet.cpp
@@ -49,6 +49,7 @@
         auto& node = m_hosts[address];
         node.m_settings.m_self = {fmt::format("marsh-{}", number), 7};
         node.m_membership = members;
+        node.m_configuration.m_own_name = node.m_settings.m_self.m_name;
         put_in_force(address, {"marsh", 1, "first-edit", first_document()});
     }
 }
