tests: Fit the gate's tests to the merged membership and admission

Cause: the parts were built side by side. The node fixture's jump of a minute looked like a pause of the process to membership, which then takes no accounts; a heartbeat needs a version and a count of upstreams by now; a cold upstream admits one request at a time; routing chooses by weight.

--- a/tests/libpolicy/gate_fate_test.cpp
+++ b/tests/libpolicy/gate_fate_test.cpp
@@ -111,6 +111,8 @@
 BOOST_AUTO_TEST_CASE(what_must_not_run_twice_gets_a_connection_of_its_own)
 {
     const auto post = only<start_transfer>(send(next_attempt(), reading()));
+    feed(transfer_head{post.at(0).m_transfer, {200, {}}}); // A cold upstream runs one at a time.
+    feed(transfer_ended{post.at(0).m_transfer, transfer_end::complete});
     const auto get = only<start_transfer>(send(next_attempt(), reading(), "GET"));
     BOOST_TEST((post.at(0).m_connection == connection_choice::fresh));
     BOOST_TEST((get.at(0).m_connection == connection_choice::reuse));
@@ -134,6 +136,8 @@
 {
     heartbeat news{m_peer, "marsh", {"127.0.1.2", 7001, 7002, 7003, 7004}};
     news.m_upstreams.push_back({"permits-1", "permits", 4, 4, 0, upstream_warmth::warm});
+    news.m_upstream_count = 1;
+    news.m_version = 1;
     feed(datagram_received{m_peer, 3, {}, news});
     const std::string strike = "marsh-1/permits-1/1";
     feed(datagram_received{m_peer, 4, {}, crash_report{0, strike}});
--- a/tests/libpolicy/node_fixture.cpp
+++ b/tests/libpolicy/node_fixture.cpp
@@ -46,7 +46,9 @@
     m_node = std::move(started.m_state);
     m_start_effects = std::move(started.m_effects);
     give_whole_share();
-    m_now = begin;
+    while (m_now < begin) {
+        advance(100ms); // A longer step would look like a pause of the process.
+    }
 }
 
 void node_fixture::give_whole_share()
--- a/tests/libpolicy/store_calls_test.cpp
+++ b/tests/libpolicy/store_calls_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace chivevane;
 using namespace chivevane::test;
+using namespace chivevane::test::control;
 
 BOOST_AUTO_TEST_SUITE(store_calls)
 
