--- a/libraries/libpolicy/health/suspicion.cpp
+++ b/libraries/libpolicy/health/suspicion.cpp
@@ -84,6 +84,7 @@
                         std::min(middle + straggling_distance, latency_bucket_count)};
     for (std::size_t index = 0; index < symptom_count; ++index) {
         std::vector<peer_share> shares;
+        shares.reserve(telling.size());
         for (const auto* peer : telling) {
             shares.push_back({showing(*peer, index, reference.m_from[index]), requests_of(*peer)});
         }
