--- a/benchmarks/admission_benchmark.cpp
+++ b/benchmarks/admission_benchmark.cpp
@@ -23,7 +23,7 @@
     for (int filling = 0; filling < 100; ++filling) {
         offer();
     }
-    for (auto step : state) {
+    while (state.KeepRunning()) {
         now += 5ms;
         admission::finished(gate, "e", admission::run_result::good, 20ms, now);
         benchmark::DoNotOptimize(admission::take_expired(gate, now));
--- a/benchmarks/health_benchmark.cpp
+++ b/benchmarks/health_benchmark.cpp
@@ -97,7 +97,7 @@
 void reports_of_all_members(benchmark::State& state)
 {
     fleet hosts{static_cast<std::size_t>(state.range(0))};
-    for (auto step : state) {
+    while (state.KeepRunning()) {
         state.PauseTiming();
         const auto reports = hosts.next_reports();
         state.ResumeTiming();
@@ -111,7 +111,7 @@
 void judgement_on_all_upstreams(benchmark::State& state)
 {
     fleet hosts{static_cast<std::size_t>(state.range(0))};
-    for (auto step : state) {
+    while (state.KeepRunning()) {
         state.PauseTiming();
         hosts.receive(hosts.next_reports());
         state.ResumeTiming();
@@ -132,7 +132,7 @@
     fleet hosts{static_cast<std::size_t>(state.range(0))};
     hosts.receive(hosts.next_reports());
     hosts.judge();
-    for (auto step : state) {
+    while (state.KeepRunning()) {
         auto surroundings = hosts.make_context();
         benchmark::DoNotOptimize(routing::choose_upstream(
             surroundings, hosts.m_members, hosts.m_health, hosts.m_configuration, {"service-0"}));
@@ -148,7 +148,7 @@
     fleet hosts{static_cast<std::size_t>(state.range(0))};
     const datagram packet{{"host-0", 1}, 1, {1, 1}, hosts.next_reports().front()};
     std::size_t size = 0;
-    for (auto step : state) {
+    while (state.KeepRunning()) {
         size = value_of(encode_datagram(packet, "secret")).size() + headers;
         benchmark::DoNotOptimize(size);
     }
