libpolicy: Give the shares back before the process ends

Cause: a host without requests stopped at once when it was told to leave, before its units of the rates were given back, so that they stayed locked for about 9 s. Change: a leaving host also waits for the roster, bounded by its shutdown limit and by the store being away.

--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -181,7 +181,8 @@
 
 bool has_work_in_progress(const node_state& node)
 {
-    return !node.m_ingress.m_requests.empty() || !node.m_gate.m_attempts.empty();
+    return !node.m_ingress.m_requests.empty() || !node.m_gate.m_attempts.empty() ||
+           !limits::has_left(node.m_limits);
 }
 
 /// What follows from any event: late token verdicts, the digest in heartbeats, the end of a leave.
