--- a/tests/libpolicy/fate_property_test.cpp
+++ b/tests/libpolicy/fate_property_test.cpp
@@ -1,10 +1,9 @@
+#include "libpolicy/count_from_environment.h"
 #include "libpolicy/fleet_harness.h"
 #include "libpolicy/naive_proxy.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace chivevane;
 using namespace chivevane::test;
 
@@ -12,8 +11,7 @@
 
 std::size_t seed_count(std::size_t ordinary)
 {
-    const auto* const wanted = std::getenv("CHIVEVANE_SEEDS");
-    return wanted == nullptr ? ordinary : std::strtoul(wanted, nullptr, 10);
+    return count_from_environment("CHIVEVANE_SEEDS", ordinary);
 }
 
 struct tally {
--- a/tests/libpolicy/fate_scenarios_test.cpp
+++ b/tests/libpolicy/fate_scenarios_test.cpp
@@ -1,4 +1,5 @@
 #include "libbase/digest.h"
+#include "libpolicy/count_from_environment.h"
 #include "libpolicy/fleet_harness.h"
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/naive_proxy.h"
@@ -180,15 +181,18 @@
                          boost::unit_test::data::make({0.0, 0.3}),
                      method, loss)
 {
-    fleet tested{1, {}};
-    tested.m_faults.m_datagram_loss = loss;
-    const auto others = run_killer(tested, method, 20s);
-    BOOST_TEST(total(tested.m_crashes) == 2U);
-    tested.run_for(10s);
-    const auto failed = std::count_if(others.begin(), others.end(), [&](std::size_t place) {
-        return !is_answered_whole(tested.m_callers[place]);
-    });
-    BOOST_TEST(failed == 0);
+    for (std::uint64_t seed = 1; seed <= count_from_environment("CHIVEVANE_KILLER_SEEDS", 1);
+         ++seed) {
+        fleet tested{seed, {}};
+        tested.m_faults.m_datagram_loss = loss;
+        const auto others = run_killer(tested, method, 20s);
+        BOOST_TEST(total(tested.m_crashes) == 2U, "seed " << seed);
+        tested.run_for(10s);
+        const auto failed = std::count_if(others.begin(), others.end(), [&](std::size_t place) {
+            return !is_answered_whole(tested.m_callers[place]);
+        });
+        BOOST_TEST(failed == 0, "seed " << seed << ": " << failed << " others failed");
+    }
 }
 
 BOOST_AUTO_TEST_CASE(a_quarantine_is_forgotten_and_a_naive_proxy_crashes_on)
--- a/tests/libpolicy/fleet_harness.cpp
+++ b/tests/libpolicy/fleet_harness.cpp
@@ -340,16 +340,8 @@
     else if (const auto* aborted = std::get_if<abort_exchange>(&item)) {
         close_exchange(host, aborted->m_exchange, transfer_end::truncated);
     }
-    else if (const auto* call = std::get_if<call_store>(&item);
-             call != nullptr && call->m_purpose == store_purpose::roster) {
-        for (const auto& [asker, response] : m_store.handle(host, *call, m_now)) {
-            schedule(delay(),
-                     [this, asker = asker, response = response, generation = process.m_generation] {
-                         if (m_processes[asker].m_generation == generation) {
-                             feed(asker, response);
-                         }
-                     });
-        }
+    else if (const auto* call = std::get_if<call_store>(&item)) {
+        answer_store_call(host, *call);
     }
     else if (const auto* packet = std::get_if<send_datagram>(&item)) {
         const auto to = host_of(packet->m_to.m_ip);
@@ -368,6 +360,22 @@
     }
 }
 
+/// Answers calls that concern the shares of rates, unless the process was started anew meanwhile.
+void fleet::answer_store_call(std::size_t host, const call_store& call)
+{
+    if (call.m_purpose != store_purpose::roster) {
+        return;
+    }
+    const auto generation = m_processes[host].m_generation;
+    for (const auto& [asker, response] : m_store.handle(host, call, m_now)) {
+        schedule(delay(), [this, asker = asker, response = response, generation] {
+            if (m_processes[asker].m_generation == generation) {
+                feed(asker, response);
+            }
+        });
+    }
+}
+
 void fleet::connect(std::size_t host, const start_transfer& order)
 {
     auto link = std::make_shared<connection>();
--- a/tests/libpolicy/fleet_harness.h
+++ b/tests/libpolicy/fleet_harness.h
@@ -118,6 +118,7 @@
     void boot(std::size_t host);
     void announce(std::size_t host);
     void perform(std::size_t host, const effect& item);
+    void answer_store_call(std::size_t host, const call_store& call);
     void perform_effects(std::size_t host, const effect_list& effects);
     void set_alarm(std::size_t host);
     void connect(std::size_t host, const start_transfer& order);
--- a/tests/libpolicy/health_detection_test.cpp
+++ b/tests/libpolicy/health_detection_test.cpp
@@ -1,9 +1,9 @@
+#include "libpolicy/count_from_environment.h"
 #include "libpolicy/fleet_model.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cmath>
-#include <cstdlib>
 #include <string>
 
 using namespace chivevane;
@@ -13,16 +13,9 @@
 
 namespace {
 
-/// A number from the environment, for longer runs than the ordinary one.
-std::uint64_t number_from(const char* variable, std::uint64_t ordinary)
-{
-    const auto* wanted = std::getenv(variable);
-    return wanted == nullptr ? ordinary : std::stoull(wanted);
-}
-
 std::uint64_t seeds(std::uint64_t ordinary)
 {
-    return number_from("CHIVEVANE_SEEDS", ordinary);
+    return count_from_environment("CHIVEVANE_SEEDS", ordinary);
 }
 
 std::string text_of(duration time)
@@ -164,7 +157,7 @@
 
 BOOST_AUTO_TEST_CASE(ordinary_noise_ejects_nobody)
 {
-    const std::chrono::minutes length{number_from("CHIVEVANE_NOISE_MINUTES", 1)};
+    const std::chrono::minutes length{count_from_environment("CHIVEVANE_NOISE_MINUTES", 1)};
     for (const std::size_t upstreams : {10, 6}) {
         for (std::uint64_t seed = 1; seed <= seeds(2); ++seed) {
             fleet_shape shape;
--- a/tests/libpolicy/limits_property_test.cpp
+++ b/tests/libpolicy/limits_property_test.cpp
@@ -1,7 +1,7 @@
+#include "libpolicy/count_from_environment.h"
 #include "libpolicy/limits_fleet.h"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <fmt/format.h>
 
 using namespace chivevane;
@@ -17,16 +17,10 @@
 constexpr duration schedule_length = 11s;
 constexpr double rounding_slack = 1e-6;
 
-std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
-{
-    const char* const text = std::getenv(variable);
-    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 /// CHIVEVANE_SEEDS runs more schedules, from CHIVEVANE_FIRST_SEED on.
 std::uint64_t seed_count()
 {
-    return number_from("CHIVEVANE_SEEDS", default_seeds);
+    return count_from_environment("CHIVEVANE_SEEDS", default_seeds);
 }
 
 /// Picks one of `choices`.
@@ -204,7 +198,7 @@
 BOOST_AUTO_TEST_CASE(no_schedule_of_faults_exceeds_a_limit)
 {
     std::size_t started = 0;
-    const auto first = number_from("CHIVEVANE_FIRST_SEED", 1);
+    const auto first = count_from_environment("CHIVEVANE_FIRST_SEED", 1);
     for (std::uint64_t seed = first; seed < first + seed_count(); ++seed) {
         const auto outcome = run_random_schedule(seed);
         started += outcome.m_started;
--- a/tests/libpolicy/membership_test.cpp
+++ b/tests/libpolicy/membership_test.cpp
@@ -1,9 +1,9 @@
+#include "libpolicy/count_from_environment.h"
 #include "libpolicy/fleet_fixture.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/naive_membership.h"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 
 using namespace chivevane;
 using namespace chivevane::test;
@@ -13,8 +13,7 @@
 
 std::uint64_t seed_count(std::uint64_t ordinary)
 {
-    const char* const wanted = std::getenv("CHIVEVANE_SEEDS");
-    return wanted == nullptr ? ordinary : std::strtoull(wanted, nullptr, 10);
+    return count_from_environment("CHIVEVANE_SEEDS", ordinary);
 }
 
 /// A fleet of which all hosts know each other.
