--- a/libraries/libpolicy/gate/crash_reports.cpp
+++ b/libraries/libpolicy/gate/crash_reports.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::uint32_t sends_per_report = 10; // At 30% loss 3 left some host without the news in one of 30 cases.
-constexpr duration send_interval = 5ms;          // Shorter than a caller's next request takes.
+constexpr std::uint32_t sends_per_report =
+    10; // At 30% loss 3 left some host without the news in one of 30 cases.
+constexpr duration send_interval = 5ms; // Shorter than a caller's next request takes.
 constexpr std::size_t max_announcements = 1024;
 
 bool has_service(const member& peer, std::string_view service)
