libadmin: Let an operator declare a host dead

Cause: after the crash of the only host of a fleet, or of one of two, nobody can vouch for the death, and the units of the rates that it held stayed locked: 429 for all keys. Change: POST /v1/hosts/{name}/declare-dead and chivevanectl host declare-dead, an event for the reducer; recorded in the time line and the log.

--- a/libraries/libadmin/admin_command.h
+++ b/libraries/libadmin/admin_command.h
@@ -54,6 +54,12 @@
     bool operator==(const list_hosts&) const = default;
 };
 
+/// POST /v1/hosts/{name}/declare-dead
+struct declare_host_dead {
+    std::string m_name;
+    bool operator==(const declare_host_dead&) const = default;
+};
+
 /// GET /v1/upstreams
 struct list_upstreams {
     bool operator==(const list_upstreams&) const = default;
@@ -78,8 +84,8 @@
 };
 
 /// What an operator asks of a host.
-using admin_command =
-    std::variant<list_documents, read_document, write_document, check_document, read_rollout,
-                 list_hosts, list_upstreams, list_organisations, read_timeline, read_metrics>;
+using admin_command = std::variant<list_documents, read_document, write_document, check_document,
+                                   read_rollout, list_hosts, declare_host_dead, list_upstreams,
+                                   list_organisations, read_timeline, read_metrics>;
 
 } // namespace chivevane
--- a/libraries/libadmin/answer_admin_request.cpp
+++ b/libraries/libadmin/answer_admin_request.cpp
@@ -137,6 +137,12 @@
     return answer_with(request, hosts_json(view));
 }
 
+admin_decision answer(const admin_view&, const admin_request& request,
+                      const declare_host_dead& command)
+{
+    return host_declared_dead{request.m_exchange, command.m_name};
+}
+
 admin_decision answer(const admin_view& view, const admin_request& request, const list_upstreams&)
 {
     return answer_with(request, upstreams_json(view));
--- a/libraries/libadmin/answer_admin_request.h
+++ b/libraries/libadmin/answer_admin_request.h
@@ -3,6 +3,7 @@
 #include "libadmin/admin_view.h"
 #include "libpolicy/configuration/configuration_events.h"
 #include "libpolicy/effect.h"
+#include "libpolicy/limits/limits_events.h"
 #include "libwire/request_head.h"
 
 #include <string_view>
@@ -19,7 +20,7 @@
 };
 
 /// An answer, or an event for the reducer, which answers the exchange later.
-using admin_decision = std::variant<respond, document_submitted>;
+using admin_decision = std::variant<respond, document_submitted, host_declared_dead>;
 
 /// Decides on any request to the administration API. Every resource needs the operator token.
 admin_decision answer_admin_request(const admin_view& view, const admin_request& request);
--- a/libraries/libadmin/parse_admin_request.cpp
+++ b/libraries/libadmin/parse_admin_request.cpp
@@ -200,6 +200,18 @@
     return admin_problem{admin_problem_kind::no_resource};
 }
 
+parsed_request parse_host_request(const request_head& head,
+                                  const std::vector<std::string_view>& parts)
+{
+    if (parts.size() != 4 || parts[3] != "declare-dead" || !is_name(parts[2])) {
+        return admin_problem{admin_problem_kind::no_resource};
+    }
+    if (head.m_method != "POST") {
+        return not_allowed("POST");
+    }
+    return admin_command{declare_host_dead{std::string{parts[2]}}};
+}
+
 parsed_request parse_collection_request(const request_head& head, std::string_view path,
                                         std::string_view query)
 {
@@ -240,6 +252,9 @@
     if (parts.size() >= 3 && parts[0] == "v1" && parts[1] == "documents") {
         return parse_document_request(head, parts);
     }
+    if (parts.size() >= 3 && parts[0] == "v1" && parts[1] == "hosts") {
+        return parse_host_request(head, parts);
+    }
     return parse_collection_request(head, path.substr(1), query);
 }
 
--- a/libraries/libcontrol/run_command.cpp
+++ b/libraries/libcontrol/run_command.cpp
@@ -233,6 +233,25 @@
     return show_timeline(call.m_options, call.m_access);
 }
 
+/// Hands on the shares of a host whose processes have all ended. Safe to repeat.
+command_result declare_host_dead(const invocation& call)
+{
+    const auto target = fmt::format("/v1/hosts/{}/declare-dead", call.m_arguments[0]);
+    error last{error_kind::unavailable, "No host was given.", "Name one with --host."};
+    for (const auto& host : call.m_access.m_hosts) {
+        const auto sent = send_to(call.m_access, host, {"POST", target, {}, {}});
+        if (is_error(sent)) {
+            last = error_of(sent);
+            continue;
+        }
+        if (value_of(sent).m_status != 202) {
+            return failed(error_of_problem(value_of(sent)));
+        }
+        return {exit_code::done, fmt::format("declared dead: {}\n", call.m_arguments[0]), ""};
+    }
+    return failed(last);
+}
+
 /// A command with the number of its arguments.
 struct command_entry {
     std::string_view m_name;
@@ -253,6 +272,7 @@
     command_entry{"datacentre", "in", 2, put_datacentre_in},
     command_entry{"rollout", "", 1, rollout},
     command_entry{"hosts", "", 0, hosts},
+    command_entry{"host", "declare-dead", 1, declare_host_dead},
     command_entry{"upstreams", "", 0, upstreams},
     command_entry{"organisations", "", 0, organisations},
     command_entry{"timeline", "", 0, timeline},
@@ -297,6 +317,8 @@
   datacentre in DOCUMENT DATACENTRE         brings it back
   rollout DOCUMENT                          shows on which hosts the revision is in force
   hosts | upstreams | organisations         lists what a host knows
+  host declare-dead HOST                    hands on the shares of a host; all its processes must
+                                            have ended, or a rate may be exceeded
   timeline                                  merges the time lines of all hosts
 Options: --host=ip:port,... --token=... --token_file=FILE (or CHIVEVANE_TOKEN) --output=text|json
   --expected_revision=N (apply) --wait=SECONDS (rollout) --hosts=ip:port,... --limit=N (timeline)
--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -168,7 +168,12 @@
         return;
     }
     m_exchanges[request.m_exchange] = {&m_admin_server, nullptr};
-    enqueue(std::get<document_submitted>(std::move(decided)));
+    if (auto* const submission = std::get_if<document_submitted>(&decided)) {
+        enqueue(std::move(*submission));
+    }
+    else {
+        enqueue(std::get<host_declared_dead>(std::move(decided)));
+    }
 }
 
 void host_process::on_gone(exchange_id exchange)
--- a/libraries/libpolicy/event.h
+++ b/libraries/libpolicy/event.h
@@ -4,6 +4,7 @@
 #include "libpolicy/configuration/configuration_events.h"
 #include "libpolicy/gate/gate_events.h"
 #include "libpolicy/identifiers.h"
+#include "libpolicy/limits/limits_events.h"
 #include "libpolicy/membership/membership_events.h"
 #include "libpolicy/transfer_events.h"
 
@@ -22,9 +23,10 @@
     bool operator==(const leave_requested&) const = default;
 };
 
-using event_body = std::variant<timer_fired, leave_requested, inbound_request, inbound_gone,
-                                transfer_head, transfer_ended, datagram_received, store_response,
-                                document_submitted, document_fetched, upstream_announced>;
+using event_body =
+    std::variant<timer_fired, leave_requested, inbound_request, inbound_gone, transfer_head,
+                 transfer_ended, datagram_received, store_response, document_submitted,
+                 document_fetched, upstream_announced, host_declared_dead>;
 
 /// One input of the reducer. Time comes in with it: the reducer has no clock of its own.
 struct event {
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -179,6 +179,15 @@
     gate::on_announced(node, surroundings, news);
 }
 
+void handle(node_state& node, context& surroundings, const host_declared_dead& news)
+{
+    limits::declare_dead(node.m_limits, surroundings, news.m_host);
+    emit(surroundings, record_event{"host-declared-dead",
+                                    {{"host", news.m_host}},
+                                    record_target::timeline_and_log});
+    emit(surroundings, respond{news.m_exchange, {202, {}}, {}});
+}
+
 bool has_work_in_progress(const node_state& node)
 {
     return !node.m_ingress.m_requests.empty() || !node.m_gate.m_attempts.empty() ||
--- a/meta/failures.py
+++ b/meta/failures.py
@@ -184,8 +184,29 @@
     fleet.start_host(victim)
 
 
+def crash_lone_host(checks):
+    """Nobody can vouch for the death of a lone host: the operator's word hands its shares on."""
+    with Fleet({"north": LAYOUT["north"][:1]}) as fleet:
+        fleet.start()
+        host = fleet.hosts[0]
+        wait_until(lambda: put(fleet, host, document(), 0).status == 200, 20)
+
+        def is_served():
+            return fleet.call(host, "GET", "/permits/1", KEY).status == 200
+
+        checks.check("a lone host serves", wait_until(is_served, 20), True)
+        host.process.kill()
+        host.process.wait()
+        fleet.start_host(host)
+        wait_until(lambda: fleet.admin(host, "GET", "/v1/documents/trial").status == 200, 20)
+        answer = fleet.admin(host, "POST", f"/v1/hosts/{host.name}/declare-dead")
+        checks.check("the operator's word is taken", answer.status == 202, answer.status)
+        checks.check("the lone host serves again", wait_until(is_served, 20), True)
+
+
 def main():
     checks = Checks()
+    crash_lone_host(checks)
     with Fleet(LAYOUT) as fleet:
         fleet.start()
         accepted = wait_until(lambda: put(fleet, fleet.hosts[0], document(), 0).status in (200, 412), 20)
--- a/tests/libadmin/admin_test.cpp
+++ b/tests/libadmin/admin_test.cpp
@@ -136,6 +136,8 @@
         {"DELETE", path, {}, "", 405, "method-not-allowed"},
         {"POST", "/v1/hosts", {}, "", 405, "method-not-allowed"},
         {"PUT", "/v1/timeline", {}, "", 405, "method-not-allowed"},
+        {"GET", "/v1/hosts/dike-2/declare-dead", {}, "", 405, "method-not-allowed"},
+        {"POST", "/v1/hosts/dike-2/forget", {}, "", 404, "no-resource"},
         {"GET", path + "/check", {}, "", 405, "method-not-allowed"},
         {"GET", "/v1/timeline?limit=0", {}, "", 400, "malformed-query"},
         {"GET", "/v1/timeline?after=x", {}, "", 400, "malformed-query"},
@@ -188,6 +190,13 @@
                 document_submitted{9, "marsh", new_text, std::nullopt, "fresh-edit"}));
 }
 
+BOOST_AUTO_TEST_CASE(an_operators_word_on_a_dead_host_becomes_an_event)
+{
+    const auto decided = ask("POST", "/v1/hosts/dike-2/declare-dead");
+    BOOST_TEST_REQUIRE(std::holds_alternative<host_declared_dead>(decided));
+    BOOST_TEST(std::get<host_declared_dead>(decided).m_host == "dike-2");
+}
+
 BOOST_AUTO_TEST_CASE(a_document_is_read_with_its_revision_and_edit)
 {
     const auto read = answer("GET", "/v1/documents/marsh");
--- a/tests/libpolicy/path_test.cpp
+++ b/tests/libpolicy/path_test.cpp
@@ -63,6 +63,13 @@
     BOOST_TEST(answer.m_body.find("key-unknown") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(an_operators_word_on_a_dead_host_is_acknowledged_and_recorded)
+{
+    const auto effects = feed(host_declared_dead{5, "marsh-9"});
+    BOOST_TEST(only<respond>(effects).at(0).m_head.m_status == 202);
+    BOOST_TEST(only<record_event>(effects).at(0).m_name == "host-declared-dead");
+}
+
 BOOST_AUTO_TEST_CASE(an_open_route_needs_no_key)
 {
     load_sample_document();
