meta: Show what the checks of a lone host saw

Cause: two lines of meta/failures printed a constant instead of what was seen. Change: they print the outcome.

--- a/meta/failures.py
+++ b/meta/failures.py
@@ -194,14 +194,16 @@
         def is_served():
             return fleet.call(host, "GET", "/permits/1", KEY).status == 200
 
-        checks.check("a lone host serves", wait_until(is_served, 20), True)
+        served = wait_until(is_served, 20)
+        checks.check("a lone host serves", served, served)
         host.process.kill()
         host.process.wait()
         fleet.start_host(host)
         wait_until(lambda: fleet.admin(host, "GET", "/v1/documents/trial").status == 200, 20)
         answer = fleet.admin(host, "POST", f"/v1/hosts/{host.name}/declare-dead")
         checks.check("the operator's word is taken", answer.status == 202, answer.status)
-        checks.check("the lone host serves again", wait_until(is_served, 20), True)
+        served = wait_until(is_served, 20)
+        checks.check("the lone host serves again", served, served)
 
 
 def main():
