--- a/services/chivevaned/main.cpp
+++ b/services/chivevaned/main.cpp
@@ -1,14 +1,13 @@
 // chivevaned: the process beside each upstream host. See docs/OPERATING.md.
 
+#include "libbase/read_file.h"
 #include "libhost/host_process.h"
 #include "libsettings/parse_settings.h"
 
 #include <asio/signal_set.hpp>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(settings, "", "file with the settings of this host (YAML)");
 DEFINE_bool(check_settings, false, "check the settings, print every fault, and end");
@@ -20,18 +19,6 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_listen = 3;
 
-result<std::string> read_file(const std::string& path)
-{
-    std::ifstream stream{path, std::ios::binary};
-    std::ostringstream text;
-    text << stream.rdbuf();
-    if (!stream) {
-        return error{error_kind::not_found, "The file " + path + " cannot be read.",
-                     "Check the path and the permissions."};
-    }
-    return std::move(text).str();
-}
-
 std::variant<node_settings, std::vector<error>> load_settings(const std::string& path)
 {
     const auto text = read_file(path);
--- a/utilities/chivevanectl/main.cpp
+++ b/utilities/chivevanectl/main.cpp
@@ -1,12 +1,12 @@
 // chivevanectl: the operators' command line. See docs/OPERATING.md.
 
 #include "libbase/digest.h"
+#include "libbase/read_file.h"
 #include "libcontrol/curl_transport.h"
 #include "libcontrol/run_command.h"
 #include "libsettings/parse_settings.h"
 
 #include <cstdlib>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sstream>
@@ -28,18 +28,6 @@
 
 constexpr std::size_t secret_size = 32; // bytes
 
-result<std::string> read_file(const std::string& path)
-{
-    std::ifstream stream{path, std::ios::binary};
-    std::ostringstream text;
-    text << stream.rdbuf();
-    if (!stream) {
-        return error{error_kind::not_found, "The file " + path + " cannot be read.",
-                     "Check the path and the permissions."};
-    }
-    return std::move(text).str();
-}
-
 /// The addresses of a list with commas.
 result<std::vector<std::string>> parse_addresses(const std::string& list)
 {
