--- a/meta/measure.py
+++ b/meta/measure.py
@@ -112,12 +112,13 @@
     return hits / len(window) if window else 0.0
 
 
-def detection_seconds(samples, sick, endpoints, until):
-    """From the fault to the first second in which the sick one gets under a quarter of its part."""
-    fair = 1.0 / len(endpoints)
+def detection_seconds(samples, sick, until):
+    """From the fault to the first second in which the sick one gets under a quarter of what it got
+    before. Its own share counts, since an upstream that is still warming up gets less than others."""
+    ordinary = share_of(samples, sick, FAULT_AT_S - 2, FAULT_AT_S)
     moment = FAULT_AT_S
     while moment + 1 <= until:
-        if share_of(samples, sick, moment, moment + 1) < 0.25 * fair:
+        if share_of(samples, sick, moment, moment + 1) < 0.25 * ordinary:
             return moment - FAULT_AT_S
         moment += 0.1
     return float("inf")
@@ -150,7 +151,7 @@
                     fleet.control_upstream(sick, **order)
 
                 samples = run_load(fleet, f"detection-{fault}-{seed}", streams, 14, seed, break_it)
-                times.append(detection_seconds(samples, sick["endpoint"], endpoints, 14))
+                times.append(detection_seconds(samples, sick["endpoint"], 14))
                 false_ones += false_ejections(samples, sick["endpoint"], endpoints, 14)
                 after = [sample for sample in samples if sample["at"] >= FAULT_AT_S]
                 failed += sum(sample["status"] != 200 for sample in after)
