--- a/libraries/libdocument/diff_documents.cpp
+++ b/libraries/libdocument/diff_documents.cpp
@@ -65,13 +65,16 @@
 
 std::string summary_of(const organisation* owner)
 {
-    return owner == nullptr ? ""
-                            : fmt::format("{{rate: {}, burst: {}}}", owner->m_rate, owner->m_burst);
+    if (owner == nullptr) {
+        return "";
+    }
+    return fmt::format("{{rate: {}, burst: {}{}}}", owner->m_rate, owner->m_burst,
+                       owner->m_priority ? fmt::format(", priority: {}", *owner->m_priority) : "");
 }
 
 std::string summary_of(const service_policy* service)
 {
-    return service == nullptr ? "" : fmt::format("{{floor: {}}}", service->m_floor);
+    return service == nullptr ? "" : fmt::format("{{{}}}", format_service(*service));
 }
 
 std::string summary_of(const route* entry)
@@ -95,6 +98,11 @@
     }
 }
 
+std::string priority_text(const organisation& owner)
+{
+    return owner.m_priority ? std::to_string(*owner.m_priority) : "of the route";
+}
+
 void diff_organisations(change_list& changes, const document& before, const document& after)
 {
     const std::vector<api_key> none;
@@ -110,6 +118,8 @@
                     new_one->m_rate);
             compare(changes, change_subject::organisation, name, "burst", old_one->m_burst,
                     new_one->m_burst);
+            compare(changes, change_subject::organisation, name, "priority",
+                    priority_text(*old_one), priority_text(*new_one));
         }
         diff_keys(changes, name, old_one == nullptr ? none : old_one->m_keys,
                   new_one == nullptr ? none : new_one->m_keys);
@@ -127,6 +137,8 @@
         }
         compare(changes, change_subject::service, name, "floor", old_one->m_floor,
                 new_one->m_floor);
+        compare(changes, change_subject::service, name, "cold_rate", old_one->m_cold_rate,
+                new_one->m_cold_rate);
     }
 }
 
@@ -137,6 +149,19 @@
     return methods.empty() ? "all" : fmt::format("{}", fmt::join(methods, " "));
 }
 
+std::string idempotence_text(route_idempotence idempotence)
+{
+    switch (idempotence) {
+    case route_idempotence::idempotent:
+        return "true";
+    case route_idempotence::not_idempotent:
+        return "false";
+    case route_idempotence::by_method:
+        break;
+    }
+    return "by method";
+}
+
 void diff_route(change_list& changes, const route& before, const route& after)
 {
     constexpr auto subject = change_subject::route;
@@ -146,6 +171,14 @@
     compare(changes, subject, name, "path_prefix", before.m_path_prefix, after.m_path_prefix);
     compare(changes, subject, name, "methods", join_methods(before), join_methods(after));
     compare(changes, subject, name, "service", before.m_service, after.m_service);
+    compare(changes, subject, name, "targets", format_targets(before.m_targets),
+            format_targets(after.m_targets));
+    compare(changes, subject, name, "idempotent", idempotence_text(before.m_idempotence),
+            idempotence_text(after.m_idempotence));
+    compare(changes, subject, name, "priority", before.m_priority, after.m_priority);
+    compare(changes, subject, name, "latency_target_ms",
+            std::to_string(to_milliseconds(before.m_latency_target)),
+            std::to_string(to_milliseconds(after.m_latency_target)));
     compare(changes, subject, name, "open_to_all",
             flag(before.m_access == route_access::open_to_all),
             flag(after.m_access == route_access::open_to_all));
@@ -188,6 +221,24 @@
     }
 }
 
+void diff_caller_limits(change_list& changes, const document& before, const document& after)
+{
+    const auto& old_limits = before.m_caller_limits;
+    const auto& new_limits = after.m_caller_limits;
+    const auto diff = [&](std::string_view field, std::int64_t old_value, std::int64_t new_value) {
+        compare(changes, change_subject::document, "caller_limits", field,
+                std::to_string(old_value), std::to_string(new_value));
+    };
+    diff("head_bytes", static_cast<std::int64_t>(old_limits.m_head_bytes),
+         static_cast<std::int64_t>(new_limits.m_head_bytes));
+    diff("body_bytes", static_cast<std::int64_t>(old_limits.m_body_bytes),
+         static_cast<std::int64_t>(new_limits.m_body_bytes));
+    diff("head_timeout_ms", to_milliseconds(old_limits.m_head_timeout),
+         to_milliseconds(new_limits.m_head_timeout));
+    diff("idle_timeout_ms", to_milliseconds(old_limits.m_idle_timeout),
+         to_milliseconds(new_limits.m_idle_timeout));
+}
+
 } // namespace
 
 std::string_view to_string(change_kind kind)
@@ -230,6 +281,7 @@
     diff_services(changes, before, after);
     diff_routes(changes, before, after);
     diff_datacentres(changes, before, after);
+    diff_caller_limits(changes, before, after);
     return changes;
 }
 
--- a/libraries/libdocument/document.h
+++ b/libraries/libdocument/document.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libdocument/caller_limits.h"
 #include "libdocument/organisation.h"
 #include "libdocument/route.h"
 #include "libdocument/service_policy.h"
@@ -17,6 +18,7 @@
     std::vector<service_policy> m_services;
     std::vector<route> m_routes;
     std::vector<std::string> m_datacentres_out; ///< Data centres that get no new work.
+    caller_limits m_caller_limits;
 
     bool operator==(const document&) const = default;
 };
--- a/libraries/libdocument/format_document.cpp
+++ b/libraries/libdocument/format_document.cpp
@@ -30,8 +30,17 @@
 
 void append_organisation(std::string& text, const organisation& owner)
 {
-    fmt::format_to(std::back_inserter(text), "  - name: {}\n    rate: {}\n    burst: {}\n",
-                   format_scalar(owner.m_name), owner.m_rate, owner.m_burst);
+    fmt::format_to(std::back_inserter(text), "  - name: {}\n", format_scalar(owner.m_name));
+    if (owner.m_rate == unlimited_rate) {
+        text += "    unlimited: true\n";
+    }
+    else {
+        fmt::format_to(std::back_inserter(text), "    rate: {}\n    burst: {}\n", owner.m_rate,
+                       owner.m_burst);
+    }
+    if (owner.m_priority) {
+        fmt::format_to(std::back_inserter(text), "    priority: {}\n", *owner.m_priority);
+    }
     if (!owner.m_keys.empty()) {
         text += "    keys:\n";
     }
@@ -40,8 +49,45 @@
     }
 }
 
+/// Appends the limits that are given.
+void append_caller_limits(std::string& text, const caller_limits& limits)
+{
+    const auto add = [&text](std::string_view field, std::int64_t value) {
+        if (value != 0) {
+            fmt::format_to(std::back_inserter(text), "  {}: {}\n", field, value);
+        }
+    };
+    if (limits == caller_limits{}) {
+        return;
+    }
+    text += "caller_limits:\n";
+    add("head_bytes", static_cast<std::int64_t>(limits.m_head_bytes));
+    add("body_bytes", static_cast<std::int64_t>(limits.m_body_bytes));
+    add("head_timeout_ms", to_milliseconds(limits.m_head_timeout));
+    add("idle_timeout_ms", to_milliseconds(limits.m_idle_timeout));
+}
+
 } // namespace
 
+std::string format_targets(const std::vector<route_target>& targets)
+{
+    std::vector<std::string> items;
+    items.reserve(targets.size());
+    std::transform(targets.begin(), targets.end(), std::back_inserter(items),
+                   [](const route_target& each) {
+                       return fmt::format("{{service: {}, weight: {}}}",
+                                          format_scalar(each.m_service), each.m_weight);
+                   });
+    return fmt::format("[{}]", fmt::join(items, ", "));
+}
+
+std::string format_service(const service_policy& service)
+{
+    const auto cold =
+        service.m_cold_rate > 0 ? fmt::format(", cold_rate: {}", service.m_cold_rate) : "";
+    return fmt::format("floor: {}{}", service.m_floor, cold);
+}
+
 std::string format_scalar(const std::string& text)
 {
     if (is_plain(text)) {
@@ -76,7 +122,12 @@
     if (!entry.m_methods.empty()) {
         add("methods", format_list(entry.m_methods));
     }
-    add("service", format_scalar(entry.m_service));
+    if (entry.m_targets.empty()) {
+        add("service", format_scalar(entry.m_service));
+    }
+    else {
+        add("targets", format_targets(entry.m_targets));
+    }
     if (entry.m_access == route_access::open_to_all) {
         add("open_to_all", "true");
     }
@@ -85,6 +136,15 @@
     if (entry.m_hedging == hedging::on) {
         add("hedging", "true");
     }
+    if (entry.m_idempotence != route_idempotence::by_method) {
+        add("idempotent", entry.m_idempotence == route_idempotence::idempotent ? "true" : "false");
+    }
+    if (entry.m_priority != 0) {
+        add("priority", std::to_string(entry.m_priority));
+    }
+    if (entry.m_latency_target != duration{}) {
+        add("latency_target_ms", std::to_string(to_milliseconds(entry.m_latency_target)));
+    }
     return text + '}';
 }
 
@@ -97,8 +157,8 @@
     }
     text += rules.m_services.empty() ? "" : "services:\n";
     for (const auto& service : rules.m_services) {
-        fmt::format_to(std::back_inserter(text), "  - {{name: {}, floor: {}}}\n",
-                       format_scalar(service.m_name), service.m_floor);
+        fmt::format_to(std::back_inserter(text), "  - {{name: {}, {}}}\n",
+                       format_scalar(service.m_name), format_service(service));
     }
     text += rules.m_routes.empty() ? "" : "routes:\n";
     for (const auto& entry : rules.m_routes) {
@@ -108,6 +168,7 @@
         fmt::format_to(std::back_inserter(text), "datacentres_out: {}\n",
                        format_list(rules.m_datacentres_out));
     }
+    append_caller_limits(text, rules.m_caller_limits);
     return text;
 }
 
--- a/libraries/libdocument/format_document.h
+++ b/libraries/libdocument/format_document.h
@@ -9,6 +9,12 @@
 /// The canonical YAML of `rules`. `parse_document` reads the same document from it.
 std::string format_document(const document& rules);
 
+/// The fields of a service besides its name, as inside a YAML flow map.
+std::string format_service(const service_policy& service);
+
+/// The targets of a route as a YAML flow list.
+std::string format_targets(const std::vector<route_target>& targets);
+
 /// One route as a YAML flow map.
 std::string format_route(const route& entry);
 
--- a/libraries/libdocument/parse_document.cpp
+++ b/libraries/libdocument/parse_document.cpp
@@ -12,14 +12,19 @@
 namespace {
 
 constexpr value_bounds<double> floor_bounds{0, 1};
+constexpr value_bounds<double> cold_rate_bounds{0, 1'000'000}; // requests per second
+constexpr value_bounds<std::int64_t> head_bounds{0, 1'048'576};
+constexpr value_bounds<std::int64_t> body_bounds{0, 1'073'741'824};
+constexpr value_bounds<std::int64_t> wait_bounds_ms{0, 3'600'000};
 constexpr double default_floor = 0.5; // half of the capacity stays in use
 
 service_policy read_service(const yaml_place& place, fault_list& faults)
 {
-    yaml_map_reader reader{place, {"name", "floor"}, faults};
+    yaml_map_reader reader{place, {"name", "floor", "cold_rate"}, faults};
     service_policy service;
     service.m_name = reader.name("name");
     service.m_floor = reader.number_or("floor", floor_bounds, default_floor);
+    service.m_cold_rate = reader.number_or("cold_rate", cold_rate_bounds, 0);
     return service;
 }
 
@@ -45,6 +50,15 @@
     return names;
 }
 
+void check_service(const std::string& name, const unique_names& services, const yaml_place& place,
+                   fault_list& faults)
+{
+    if (!name.empty() && !services.contains(name)) {
+        add_fault(faults, error_kind::dangling, place, fmt::format("services has no `{}`.", name),
+                  "Add the service, or correct its name.");
+    }
+}
+
 void read_routes(yaml_map_reader& reader, const unique_names& services, document& rules,
                  fault_list& faults)
 {
@@ -54,10 +68,9 @@
         auto entry = read_route(place, faults);
         names.add(entry.m_name, place, faults);
         add_route_matches(entry, matches, place, faults);
-        if (!entry.m_service.empty() && !services.contains(entry.m_service)) {
-            add_fault(faults, error_kind::dangling, place,
-                      fmt::format("services has no `{}`.", entry.m_service),
-                      "Add the service, or correct its name.");
+        check_service(entry.m_service, services, place, faults);
+        for (const auto& target : entry.m_targets) {
+            check_service(target.m_service, services, place, faults);
         }
         rules.m_routes.push_back(std::move(entry));
     }
@@ -73,17 +86,34 @@
     }
 }
 
-document read_document(const yaml_node& root, fault_list& faults)
+void read_caller_limits(yaml_map_reader& reader, document& rules, fault_list& faults)
 {
-    yaml_map_reader reader{{&root, ""},
-                           {"document", "organisations", "services", "routes", "datacentres_out"},
+    if (!reader.has("caller_limits")) {
+        return;
+    }
+    yaml_map_reader limits{reader.place_of("caller_limits"),
+                           {"head_bytes", "body_bytes", "head_timeout_ms", "idle_timeout_ms"},
                            faults};
+    rules.m_caller_limits = {
+        static_cast<std::size_t>(limits.integer_or("head_bytes", head_bounds, 0)),
+        static_cast<std::size_t>(limits.integer_or("body_bytes", body_bounds, 0)),
+        std::chrono::milliseconds{limits.integer_or("head_timeout_ms", wait_bounds_ms, 0)},
+        std::chrono::milliseconds{limits.integer_or("idle_timeout_ms", wait_bounds_ms, 0)}};
+}
+
+document read_document(const yaml_node& root, fault_list& faults)
+{
+    yaml_map_reader reader{
+        {&root, ""},
+        {"document", "organisations", "services", "routes", "datacentres_out", "caller_limits"},
+        faults};
     document rules;
     rules.m_name = reader.name("document");
     read_organisations(reader, rules, faults);
     const auto services = read_services(reader, rules, faults);
     read_routes(reader, services, rules, faults);
     read_datacentres(reader, rules, faults);
+    read_caller_limits(reader, rules, faults);
     return rules;
 }
 
--- a/libraries/libdocument/read_organisation.cpp
+++ b/libraries/libdocument/read_organisation.cpp
@@ -9,7 +9,8 @@
 
 constexpr value_bounds<double> rate_bounds{0, 10'000'000};  // requests per second
 constexpr value_bounds<double> burst_bounds{0, 10'000'000}; // requests
-constexpr std::size_t digest_length = 64;                   // characters
+constexpr value_bounds<std::int64_t> priority_bounds{0, 1'000};
+constexpr std::size_t digest_length = 64; // characters
 
 api_key read_key(const yaml_place& place, unique_names& digests, fault_list& faults)
 {
@@ -23,6 +24,18 @@
     return key;
 }
 
+/// Reads rate and burst, unless the organisation has no limit.
+void read_limit(yaml_map_reader& reader, organisation& owner)
+{
+    if (reader.flag_or("unlimited", false)) {
+        owner.m_rate = unlimited_rate;
+        owner.m_burst = unlimited_rate;
+        return;
+    }
+    owner.m_rate = reader.number("rate", rate_bounds);
+    owner.m_burst = reader.number("burst", burst_bounds);
+}
+
 } // namespace
 
 bool is_key_digest(std::string_view text)
@@ -34,11 +47,14 @@
 
 organisation read_organisation(const yaml_place& place, unique_names& digests, fault_list& faults)
 {
-    yaml_map_reader reader{place, {"name", "rate", "burst", "keys"}, faults};
+    yaml_map_reader reader{
+        place, {"name", "rate", "burst", "unlimited", "keys", "priority"}, faults};
     organisation owner;
     owner.m_name = reader.name("name");
-    owner.m_rate = reader.number("rate", rate_bounds);
-    owner.m_burst = reader.number("burst", burst_bounds);
+    read_limit(reader, owner);
+    if (reader.has("priority")) {
+        owner.m_priority = static_cast<std::uint32_t>(reader.integer("priority", priority_bounds));
+    }
     if (owner.m_rate > 0 && owner.m_burst < 1) {
         reader.fault(error_kind::out_of_range, "burst",
                      "with less than one no request could ever start.",
--- a/libraries/libdocument/read_route.cpp
+++ b/libraries/libdocument/read_route.cpp
@@ -9,6 +9,9 @@
 
 constexpr value_bounds<std::int64_t> timeout_bounds_ms{1, 600'000}; // callers wait no longer
 constexpr value_bounds<std::int64_t> attempt_bounds{1, 10};
+constexpr value_bounds<std::int64_t> priority_bounds{0, 1'000};
+constexpr value_bounds<std::int64_t> target_bounds_ms{0, 600'000};
+constexpr value_bounds<double> weight_bounds{0, 1'000'000};
 constexpr std::size_t max_path_length = 1'024;
 constexpr std::size_t max_host_length = 259; // a name of 253 characters with a port
 constexpr std::size_t max_method_length = 32;
@@ -72,18 +75,66 @@
     entry.m_methods = read_methods(reader, faults);
 }
 
+route_target read_target(const yaml_place& place, fault_list& faults)
+{
+    yaml_map_reader reader{place, {"service", "weight"}, faults};
+    route_target target;
+    target.m_service = reader.name("service");
+    target.m_weight = reader.number("weight", weight_bounds);
+    return target;
+}
+
+/// Reads the one service of a route, or the services that share its requests.
+void read_services(yaml_map_reader& reader, route& entry, fault_list& faults)
+{
+    if (!reader.has("targets")) {
+        entry.m_service = reader.name("service");
+        return;
+    }
+    if (reader.has("service")) {
+        reader.fault(error_kind::duplicate, "targets", "the route has a service as well.",
+                     "Give either service or targets.");
+    }
+    double sum = 0;
+    unique_names names{"target"};
+    for (const auto& place : reader.items("targets")) {
+        entry.m_targets.push_back(read_target(place, faults));
+        names.add(entry.m_targets.back().m_service, place, faults);
+        sum += entry.m_targets.back().m_weight;
+    }
+    if (sum <= 0) {
+        reader.fault(error_kind::out_of_range, "targets", "no target has a weight.",
+                     "Give at least one target a weight above 0.");
+    }
+}
+
+void read_idempotence(yaml_map_reader& reader, route& entry)
+{
+    if (reader.has("idempotent")) {
+        entry.m_idempotence = reader.flag_or("idempotent", false)
+                                  ? route_idempotence::idempotent
+                                  : route_idempotence::not_idempotent;
+    }
+}
+
 } // namespace
 
 route read_route(const yaml_place& place, fault_list& faults)
 {
     yaml_map_reader reader{place,
-                           {"name", "host", "path_prefix", "methods", "service", "open_to_all",
-                            "timeout_ms", "attempts", "hedging"},
+                           {"name", "host", "path_prefix", "methods", "service", "targets",
+                            "open_to_all", "timeout_ms", "attempts", "hedging", "idempotent",
+                            "priority", "latency_target_ms"},
                            faults};
     route entry;
     entry.m_name = reader.name("name");
     read_match(reader, entry, faults);
-    entry.m_service = reader.name("service");
+    read_services(reader, entry, faults);
+    read_idempotence(reader, entry);
+    entry.m_priority =
+        static_cast<std::uint32_t>(reader.integer_or("priority", priority_bounds, 0));
+    entry.m_latency_target =
+        std::chrono::milliseconds{reader.integer_or("latency_target_ms", target_bounds_ms, 0)};
     if (reader.flag_or("open_to_all", false)) {
         entry.m_access = route_access::open_to_all;
     }
--- a/libraries/libdocument/service_policy.h
+++ b/libraries/libdocument/service_policy.h
@@ -8,6 +8,9 @@
 struct service_policy {
     std::string m_name;
     double m_floor = 0.5; ///< Share of the capacity that ejection must leave in use, 0 to 1.
+    /// Requests per second that an upstream bears while it is cold. Zero if it is not told: then
+    /// the gate learns from its answers what the upstream bears.
+    double m_cold_rate = 0;
 
     bool operator==(const service_policy&) const = default;
 };
--- a/libraries/libhost/document_exchange.cpp
+++ b/libraries/libhost/document_exchange.cpp
@@ -53,7 +53,7 @@
            !find_field(head.m_fields, "Chivevane-Attempt");
 }
 
-void answer_document_request(http_server& server, const received_request& request,
+void answer_document_request(answer_port& server, const received_request& request,
                              const configuration_state& configuration, std::string_view secret)
 {
     const std::string_view target = request.m_head.m_target;
--- a/libraries/libhost/document_exchange.h
+++ b/libraries/libhost/document_exchange.h
@@ -16,7 +16,7 @@
 bool is_document_request(const request_head& head);
 
 /// Answers a host's request for a document in force; both sides sign with the shared secret.
-void answer_document_request(http_server& server, const received_request& request,
+void answer_document_request(answer_port& server, const received_request& request,
                              const configuration_state& configuration, std::string_view secret);
 
 /// Asks a host for its copy of a document; `on_answer` is called once.
--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -1,17 +1,22 @@
 #include "libhost/host_process.h"
 
 #include "libadmin/answer_admin_request.h"
+#include "libadmin/metrics_text.h"
 #include "libbase/digest.h"
 #include "libbase/log_line.h"
 #include "libbase/result.h"
 #include "libdocument/parse_document.h"
-#include "libhost/announcement.h"
 #include "libhost/document_exchange.h"
 #include "libhost/process_usage.h"
+#include "libhost/shared_secret.h"
+#include "libpolicy/configuration/configuration.h"
 #include "libpolicy/reduce.h"
+#include "libpolicy/refusal.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <glog/logging.h>
+#include <utility>
 
 namespace chivevane {
 
@@ -28,15 +33,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
-std::vector<store_address> store_addresses(const node_settings& settings)
-{
-    std::vector<store_address> addresses;
-    for (const auto& endpoint : settings.m_stores) {
-        addresses.push_back({endpoint.m_ip, endpoint.m_port});
-    }
-    return addresses;
-}
-
 /// The wall clock makes the incarnation grow with every start on the same name.
 node_settings with_incarnation(node_settings settings)
 {
@@ -52,6 +48,10 @@
     return options;
 }
 
+/// Time for the last answers to be written when the process ends.
+constexpr duration longest_flush = 400ms;
+constexpr duration flush_check_interval = 20ms;
+
 std::uint64_t hash_of(const std::string& body)
 {
     return body.empty() ? 0 : stable_hash(body);
@@ -59,29 +59,24 @@
 
 } // namespace
 
-host_process::host_process(asio::io_context& loop, node_settings settings)
+host_process::host_process(asio::io_context& loop, node_settings settings, platform_hooks hooks)
     : m_loop(loop),
       m_settings(with_incarnation(std::move(settings))),
       m_timer(loop),
+      m_hooks(std::move(hooks)),
       m_client(loop),
-      m_store(m_client, store_addresses(m_settings)),
-      m_transfers(m_client, m_exchanges,
-                  [this](transfer_news news) {
-                      std::visit([this](auto& item) { enqueue(std::move(item)); }, news);
-                  }),
-      m_control(loop, m_settings.m_policy.m_address, m_settings.m_policy.m_self,
-                m_settings.m_policy.m_shared_secret,
-                [this](datagram_received received) {
-                    m_clock = merge_reading(m_clock, received.m_sent_at, current_wall_ms());
-                    enqueue(std::move(received));
-                }),
-      m_caller_server(loop, listener_options(m_settings.m_policy.m_address.m_caller_port),
+      m_store(m_hooks.m_make_store(m_client, m_settings)),
+      m_traffic_client(loop),
+      m_transfers(m_traffic_client, m_exchanges,
+                  [this](transfer_news news) { enqueue_news(std::move(news)); }),
+      m_stop_timer(loop),
+      m_caller_server(loop, traffic_options(m_settings.m_policy.m_address.m_caller_port),
                       {[this](received_request request) {
                            on_request(listener_kind::caller, m_caller_server, std::move(request));
                        },
                        [this](exchange_id exchange) { on_gone(exchange); }},
                       m_last_exchange),
-      m_gate_server(loop, listener_options(m_settings.m_policy.m_address.m_gate_port),
+      m_gate_server(loop, traffic_options(m_settings.m_policy.m_address.m_gate_port),
                     {[this](received_request request) {
                          on_request(listener_kind::gate, m_gate_server, std::move(request));
                      },
@@ -95,7 +90,15 @@
       m_announce_server(loop, listener_options(m_settings.m_announce_port),
                         {[this](const received_request& request) { on_announcement(request); },
                          [](exchange_id) {}},
-                        m_last_exchange)
+                        m_last_exchange),
+      m_ready_server(loop, listener_options(m_settings.m_ready_port),
+                     {[this](const received_request& request) { on_ready_request(request); },
+                      [](exchange_id) {}},
+                     m_last_exchange),
+      m_metrics_server(loop, listener_options(m_settings.m_metrics_port),
+                       {[this](const received_request& request) { on_metrics_request(request); },
+                        [](exchange_id) {}},
+                       m_last_exchange)
 {
     m_timeline.m_capacity = m_settings.m_timeline_entries;
 }
@@ -108,18 +111,60 @@
     m_gate_server.open();
     m_admin_server.open();
     m_announce_server.open();
-    auto started = start_node(m_settings.m_policy, current_time(), current_wall_ms());
+    if (m_settings.m_ready_port != 0) {
+        m_ready_server.open();
+    }
+    if (m_settings.m_metrics_port != 0) {
+        m_metrics_server.open();
+    }
+    if (m_settings.m_secret_key.empty()) {
+        start_with_secret(m_settings.m_policy.m_shared_secret);
+        return;
+    }
+    obtain_shared_secret(m_loop, m_store, m_settings.m_secret_key,
+                         [this](std::string secret) { start_with_secret(std::move(secret)); });
+}
+
+void host_process::start_with_secret(std::string secret)
+{
+    auto& policy = m_settings.m_policy;
+    policy.m_shared_secret = std::move(secret);
+    m_control = std::make_unique<control_socket>(
+        m_loop, policy.m_address, policy.m_self, policy.m_shared_secret,
+        [this](datagram_received received) {
+            m_clock = merge_reading(m_clock, received.m_sent_at, current_wall_ms());
+            enqueue(std::move(received));
+        });
+    auto started = start_node(policy, current_time(), current_wall_ms());
     m_node = std::move(started.m_state);
     carry_out(record_event{"host-started",
-                           {{"datacentre", m_settings.m_policy.m_datacentre},
-                            {"ip", m_settings.m_policy.m_address.m_ip}},
+                           {{"datacentre", policy.m_datacentre},
+                            {"ip", policy.m_address.m_ip},
+                            {"incarnation", std::to_string(policy.m_self.m_incarnation)}},
                            record_target::timeline_and_log});
     carry_out_all(started.m_effects);
     set_timer();
 }
 
+void host_process::update_settings(const node_settings& settings)
+{
+    auto& policy = m_node.m_settings;
+    policy.m_service = settings.m_policy.m_service;
+    policy.m_shutdown_limit = settings.m_policy.m_shutdown_limit;
+    policy.m_shutdown_notice = settings.m_policy.m_shutdown_notice;
+    carry_out(record_event{
+        "settings-reloaded", {{"service", policy.m_service}}, record_target::timeline_and_log});
+}
+
 void host_process::request_leave()
 {
+    if (!m_control) {
+        carry_out(stop_process{}); // Nothing has begun yet.
+        return;
+    }
+    carry_out(record_event{"leave-requested", {}, record_target::timeline_and_log});
+    m_caller_server.announce_closing();
+    m_gate_server.announce_closing();
     enqueue(leave_requested{});
 }
 
@@ -133,8 +178,24 @@
     return options;
 }
 
-void host_process::on_request(listener_kind listener, http_server& server, received_request request)
+traffic_server_options host_process::traffic_options(std::uint16_t port) const
+{
+    traffic_server_options options;
+    options.m_ip = m_settings.m_listen_ip;
+    options.m_port = port;
+    options.m_limits = {m_settings.m_max_head_size, m_settings.m_max_body_size};
+    return options;
+}
+
+void host_process::on_request(listener_kind listener, traffic_server& server,
+                              received_request request)
 {
+    if (!m_control) {
+        const auto answer = make_refusal(request.m_exchange,
+                                         {refusal_kind::not_ready, request_outcome::not_run, 1s});
+        server.respond(request.m_exchange, answer.m_head, answer.m_body);
+        return;
+    }
     if (listener == listener_kind::gate && is_document_request(request.m_head)) {
         answer_document_request(server, request, m_node.m_configuration,
                                 m_settings.m_policy.m_shared_secret);
@@ -142,19 +203,47 @@
     }
     const auto hash = hash_of(*request.m_body);
     const auto size = request.m_body->size();
-    m_exchanges[request.m_exchange] = {&server, std::move(request.m_body), current_time()};
+    auto& held = m_exchanges[request.m_exchange];
+    held = {&server, std::move(request.m_body), current_time()};
+    if (listener == listener_kind::caller) {
+        request.m_head = m_hooks.m_read_caller_request(std::move(request.m_head));
+        held.m_request = request.m_head;
+    }
     enqueue(inbound_request{request.m_exchange, listener, std::move(request.m_head), size, hash});
 }
 
 void host_process::on_announcement(const received_request& request)
 {
-    auto news = parse_announcement(*request.m_body);
-    if (is_error(news)) {
-        m_announce_server.respond(request.m_exchange, {400, {}}, describe(error_of(news)));
+    if (!m_control) {
+        m_announce_server.respond(request.m_exchange, {503, {}}, {});
         return;
     }
-    enqueue(value_of(std::move(news)));
-    m_announce_server.respond(request.m_exchange, {204, {}}, {});
+    auto answer = m_hooks.m_read_announcement(request);
+    // Taken in before it is answered: the answer binds this host to what was announced.
+    for (auto& news : answer.m_news) {
+        handle(std::move(news));
+    }
+    set_timer();
+    m_announce_server.respond(request.m_exchange, answer.m_head, std::move(answer.m_body));
+}
+
+void host_process::on_ready_request(const received_request& request)
+{
+    const bool is_ready = m_control && !m_node.m_leave_deadline &&
+                          configuration::may_serve(m_node.m_configuration,
+                                                   m_node.m_settings.m_stale_rules, current_time());
+    m_ready_server.respond(request.m_exchange,
+                           {is_ready ? std::uint16_t{200} : std::uint16_t{503}, {}},
+                           is_ready ? "ready\n" : "not ready\n");
+}
+
+void host_process::on_metrics_request(const received_request& request)
+{
+    const auto counters = current_counters();
+    m_metrics_server.respond(request.m_exchange,
+                             {200, {{"Content-Type", "text/plain; version=0.0.4"}}},
+                             format_metrics({m_node, m_timeline, counters,
+                                             m_settings.m_operator_token, current_time()}));
 }
 
 void host_process::on_admin_request(const received_request& request)
@@ -191,6 +280,25 @@
     }
 }
 
+/// Upstreams' answers are translated before the reducer sees them.
+void host_process::enqueue_news(transfer_news news)
+{
+    if (auto* const end = std::get_if<transfer_ended>(&news)) {
+        m_upstream_requests.erase(end->m_transfer);
+        enqueue(std::move(*end));
+        return;
+    }
+    auto& answer = std::get<transfer_head>(news);
+    if (const auto sent = m_upstream_requests.find(answer.m_transfer);
+        sent != m_upstream_requests.end()) {
+        auto translated = m_hooks.m_read_upstream_answer(sent->second, std::move(answer.m_head));
+        // An answer to no request of this host echoes no id of it.
+        answer.m_head =
+            translated ? std::move(*translated) : response_head{502, {{"X-Request-Id", ""}}};
+    }
+    enqueue(std::move(answer));
+}
+
 void host_process::drain()
 {
     m_is_drain_posted = false;
@@ -201,9 +309,35 @@
             handle(std::move(body));
         }
     }
+    follow_caller_limits();
     set_timer();
 }
 
+/// Applies the limits on callers that the documents in force tell.
+void host_process::follow_caller_limits()
+{
+    const auto digest = configuration::digest_of(m_node.m_configuration);
+    if (digest == std::exchange(m_limits_digest, digest)) {
+        return;
+    }
+    const auto defaults = traffic_options(0);
+    caller_limits widest{};
+    for (const auto& [name, held] : m_node.m_configuration.m_documents) {
+        const auto& told = held.m_rules->m_caller_limits;
+        widest = {std::max(widest.m_head_bytes, told.m_head_bytes),
+                  std::max(widest.m_body_bytes, told.m_body_bytes),
+                  std::max(widest.m_head_timeout, told.m_head_timeout),
+                  std::max(widest.m_idle_timeout, told.m_idle_timeout)};
+    }
+    const auto or_default = [](auto told, auto fallback) {
+        return told == decltype(told){} ? fallback : told;
+    };
+    m_caller_server.set_limits({or_default(widest.m_head_bytes, defaults.m_limits.m_max_head_size),
+                                or_default(widest.m_body_bytes, defaults.m_limits.m_max_body_size)},
+                               or_default(widest.m_head_timeout, defaults.m_head_timeout),
+                               or_default(widest.m_idle_timeout, defaults.m_idle_timeout));
+}
+
 /// News of a transfer that was cancelled while the news waited in the queue.
 bool host_process::is_stale(const event_body& body) const
 {
@@ -254,28 +388,46 @@
 void host_process::carry_out(const respond& order)
 {
     if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
-        node.mapped().m_server->respond(order.m_exchange, order.m_head, order.m_body);
-        count_answer(node.mapped(), order.m_head.m_status);
+        auto& held = node.mapped();
+        auto head = held.m_server == &m_caller_server
+                        ? m_hooks.m_write_caller_answer(held.m_request, order.m_head)
+                        : order.m_head;
+        held.m_server->respond(order.m_exchange, head, order.m_body);
+        count_answer(held, head.m_status);
     }
 }
 
 void host_process::carry_out(const start_transfer& order)
 {
-    m_transfers.start(order);
+    if (order.m_peer == transfer_peer::host) {
+        m_transfers.start(order);
+        return;
+    }
+    m_upstream_requests[order.m_transfer] = order.m_head;
+    auto translated = order;
+    translated.m_head = m_hooks.m_write_upstream_request(order.m_head);
+    m_transfers.start(translated);
 }
 
 void host_process::carry_out(const cancel_transfer& order)
 {
+    m_upstream_requests.erase(order.m_transfer);
     m_transfers.cancel(order);
 }
 
 void host_process::carry_out(const relay_transfer& order)
 {
-    if (const auto held = m_exchanges.find(order.m_exchange);
-        held != m_exchanges.end() && order.m_head) {
-        held->second.m_status = order.m_head->m_status;
+    const auto held = m_exchanges.find(order.m_exchange);
+    if (held == m_exchanges.end() || !order.m_head) {
+        m_transfers.relay(order);
+        return;
+    }
+    auto translated = order;
+    if (held->second.m_server == &m_caller_server) {
+        translated.m_head = m_hooks.m_write_caller_answer(held->second.m_request, *order.m_head);
     }
-    m_transfers.relay(order);
+    held->second.m_status = translated.m_head->m_status;
+    m_transfers.relay(translated);
 }
 
 void host_process::carry_out(const finish_exchange& order)
@@ -298,13 +450,14 @@
 
 void host_process::carry_out(const send_datagram& order)
 {
-    m_control.send(order.m_to, order.m_message, stamp());
+    m_control->send(order.m_to, order.m_message, stamp());
 }
 
 void host_process::carry_out(const call_store& order)
 {
-    m_store.run(order.m_operation, [this, id = order.m_operation_id,
-                                    purpose = order.m_purpose](store_outcome outcome) {
+    ++m_store_calls;
+    m_store(order.m_operation, [this, id = order.m_operation_id,
+                                purpose = order.m_purpose](store_outcome outcome) {
         m_counters.m_store_failures += std::holds_alternative<store_failure>(outcome) ? 1 : 0;
         enqueue(store_response{id, purpose, std::move(outcome)});
     });
@@ -327,11 +480,36 @@
 
 void host_process::carry_out(const stop_process&)
 {
-    m_is_stopped = true;
+    if (std::exchange(m_is_stopped, true)) {
+        return;
+    }
     m_timer.cancel();
-    m_control.close();
+    m_stop_by = current_time() + longest_flush;
+    end_when_written();
+}
+
+/// Ends the process once the last answers are written and their connections closed.
+void host_process::end_when_written()
+{
+    m_caller_server.close_idle_connections();
+    m_gate_server.close_idle_connections();
+    const auto open = m_caller_server.connection_count() + m_gate_server.connection_count();
+    if (open > 0 && current_time() < m_stop_by) {
+        m_stop_timer.expires_after(flush_check_interval);
+        m_stop_timer.async_wait([this](const asio::error_code& cancelled) {
+            if (!cancelled) {
+                end_when_written();
+            }
+        });
+        return;
+    }
+    if (m_control) {
+        m_control->close();
+    }
+    m_caller_server.close();
+    m_gate_server.close();
     for (auto* const server :
-         {&m_caller_server, &m_gate_server, &m_admin_server, &m_announce_server}) {
+         {&m_admin_server, &m_announce_server, &m_ready_server, &m_metrics_server}) {
         server->close();
     }
     write_log(log_line{"host-stopped"}.add("host", m_settings.m_policy.m_self.m_name));
@@ -349,12 +527,12 @@
 host_counters host_process::current_counters() const
 {
     auto counters = m_counters;
-    const auto& control = m_control.counters();
+    const auto control = m_control ? m_control->counters() : control_counters{};
     counters.m_datagrams_received = control.m_received;
     counters.m_datagrams_refused = control.m_dropped_malformed + control.m_dropped_unauthenticated;
     counters.m_datagrams_sent = control.m_sent;
     counters.m_datagram_bytes_sent = control.m_sent_bytes;
-    counters.m_store_calls = m_store.calls();
+    counters.m_store_calls = m_store_calls;
     const auto usage = measure_process_usage();
     counters.m_processor_seconds = usage.m_processor_seconds;
     counters.m_resident_bytes = usage.m_resident_bytes;
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -4,20 +4,23 @@
 #include "libadmin/timeline.h"
 #include "libhost/control_socket.h"
 #include "libhost/exchange_table.h"
+#include "libhost/platform_hooks.h"
 #include "libhost/transfer_runner.h"
 #include "libhttp/http_client.h"
 #include "libhttp/http_server.h"
+#include "libhttp/traffic_client.h"
+#include "libhttp/traffic_server.h"
 #include "libpolicy/event.h"
 #include "libpolicy/node_state.h"
 #include "libsettings/node_settings.h"
-#include "libstore/http_store.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
-#include <string_view>
+#include <string>
+#include <unordered_map>
 
 namespace chivevane {
 
@@ -25,7 +28,8 @@
 /// one to `reduce`, and carries out the effects. It decides nothing itself.
 class host_process {
 public:
-    host_process(asio::io_context& loop, node_settings settings);
+    host_process(asio::io_context& loop, node_settings settings,
+                 platform_hooks hooks = native_hooks());
     ~host_process();
     host_process(const host_process&) = delete;
     host_process& operator=(const host_process&) = delete;
@@ -36,15 +40,26 @@
     /// Begins to leave; a second call ends at once. The loop is stopped at the end.
     void request_leave();
 
+    /// Takes over what may change while the process runs: the service of the local upstream and
+    /// the times for shutting down. The rest is as it was at the start.
+    void update_settings(const node_settings& settings);
+
 private:
     http_server_options listener_options(std::uint16_t port) const;
-    void on_request(listener_kind listener, http_server& server, received_request request);
+    traffic_server_options traffic_options(std::uint16_t port) const;
+    void start_with_secret(std::string secret);
+    void on_request(listener_kind listener, traffic_server& server, received_request request);
     void on_announcement(const received_request& request);
+    void on_ready_request(const received_request& request);
+    void on_metrics_request(const received_request& request);
     void on_admin_request(const received_request& request);
     void on_gone(exchange_id exchange);
 
     void enqueue(event_body body);
+    void enqueue_news(transfer_news news);
     void drain();
+    void follow_caller_limits();
+    void end_when_written();
     bool is_stale(const event_body& body) const;
     void handle(event_body body);
     void set_timer();
@@ -79,14 +94,24 @@
     bool m_is_drain_posted = false;
     bool m_is_stopped = false;
     asio::steady_timer m_timer;
+    platform_hooks m_hooks;
     http_client m_client;
-    http_store m_store;
+    store_runner m_store;
+    std::uint64_t m_store_calls = 0;
+    traffic_client m_traffic_client;
     transfer_runner m_transfers;
-    control_socket m_control;
-    http_server m_caller_server;
-    http_server m_gate_server;
+    std::unordered_map<transfer_id, request_head>
+        m_upstream_requests;                   ///< As the reducer gave them.
+    std::unique_ptr<control_socket> m_control; ///< Null until the shared secret is known.
+    std::uint64_t m_limits_digest = 0;         ///< Of the documents that the limits come from.
+    asio::steady_timer m_stop_timer;
+    instant m_stop_by;
+    traffic_server m_caller_server;
+    traffic_server m_gate_server;
     http_server m_admin_server;
     http_server m_announce_server;
+    http_server m_ready_server;
+    http_server m_metrics_server;
 };
 
 } // namespace chivevane
--- /dev/null
+++ b/libraries/libhost/run_daemon.cpp
@@ -0,0 +1,155 @@
+#include "libhost/run_daemon.h"
+
+#include "libbase/log_line.h"
+#include "libbase/read_file.h"
+#include "libhost/host_process.h"
+#include "libsettings/parse_settings.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <glog/logging.h>
+#include <iostream>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace chivevane {
+
+namespace {
+
+constexpr int exit_bad_settings = 2;
+constexpr int exit_cannot_listen = 3;
+
+/// Time between two looks at the settings file, which may change without a signal.
+constexpr duration file_check_interval = 1s;
+
+using loaded_settings = std::variant<node_settings, std::vector<error>>;
+
+loaded_settings parse_file(const result<std::string>& text)
+{
+    if (is_error(text)) {
+        return std::vector{error_of(text)};
+    }
+    return parse_settings(value_of(text), read_file);
+}
+
+void print_faults(const std::vector<error>& faults)
+{
+    for (const auto& fault : faults) {
+        std::cerr << describe(fault) << '\n';
+    }
+}
+
+/// Follows signals and the settings file while the process runs.
+class daemon_control {
+public:
+    daemon_control(asio::io_context& loop, host_process& process, std::string path,
+                   std::string text)
+        : m_process(process),
+          m_stop_signals(loop, SIGINT, SIGTERM),
+          m_reload_signals(loop, SIGHUP),
+          m_timer(loop),
+          m_path(std::move(path)),
+          m_text(std::move(text))
+    {
+        wait_for_stop();
+        wait_for_reload();
+        check_file_later();
+    }
+
+private:
+    void wait_for_stop()
+    {
+        m_stop_signals.async_wait([this](const asio::error_code& problem, int) {
+            if (!problem) {
+                m_process.request_leave();
+                wait_for_stop();
+            }
+        });
+    }
+
+    void wait_for_reload()
+    {
+        m_reload_signals.async_wait([this](const asio::error_code& problem, int) {
+            if (!problem) {
+                reload();
+                wait_for_reload();
+            }
+        });
+    }
+
+    void check_file_later()
+    {
+        m_timer.expires_after(file_check_interval);
+        m_timer.async_wait([this](const asio::error_code& problem) {
+            if (!problem) {
+                reload();
+                check_file_later();
+            }
+        });
+    }
+
+    /// Takes the file over if it has changed; faulty settings change nothing.
+    void reload()
+    {
+        const auto text = read_file(m_path);
+        if (is_error(text) || value_of(text) == m_text) {
+            return;
+        }
+        m_text = value_of(text);
+        const auto settings = parse_file(text);
+        if (const auto* const faults = std::get_if<std::vector<error>>(&settings)) {
+            write_warning(log_line{"settings-refused"}
+                              .add("reason", describe(faults->front()))
+                              .add("remedy", "Correct the file; the old settings hold on."));
+            return;
+        }
+        m_process.update_settings(std::get<node_settings>(settings));
+    }
+
+    host_process& m_process;
+    asio::signal_set m_stop_signals;
+    asio::signal_set m_reload_signals;
+    asio::steady_timer m_timer;
+    std::string m_path;
+    std::string m_text;
+};
+
+} // namespace
+
+int run_daemon(const std::string& settings_path, const platform_hooks& hooks)
+{
+    const auto text = read_file(settings_path);
+    auto settings = parse_file(text);
+    if (const auto* const faults = std::get_if<std::vector<error>>(&settings)) {
+        print_faults(*faults);
+        return exit_bad_settings;
+    }
+    FLAGS_minloglevel = static_cast<int>(std::get<node_settings>(settings).m_log_level);
+    asio::io_context loop{1};
+    try {
+        host_process process{loop, std::get<node_settings>(std::move(settings)), hooks};
+        process.open();
+        const daemon_control control{loop, process, settings_path, value_of(text)};
+        loop.run();
+        return 0;
+    }
+    catch (const std::exception& problem) {
+        std::cerr << "Cannot run: " << problem.what()
+                  << " Remedy: check ip and ports in the settings.\n";
+        return exit_cannot_listen;
+    }
+}
+
+int check_settings(const std::string& settings_path)
+{
+    const auto settings = parse_file(read_file(settings_path));
+    if (const auto* const faults = std::get_if<std::vector<error>>(&settings)) {
+        print_faults(*faults);
+        return exit_bad_settings;
+    }
+    std::cout << "The settings are valid.\n";
+    return 0;
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libhost/shared_secret.cpp
@@ -0,0 +1,100 @@
+#include "libhost/shared_secret.h"
+
+#include "libbase/digest.h"
+#include "libbase/instant.h"
+#include "libbase/log_line.h"
+
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <random>
+
+namespace chivevane {
+
+namespace {
+
+constexpr std::size_t secret_size = 32; // bytes
+constexpr int first_delay_ms = 150;     // Hosts that start together seldom make it at once.
+constexpr duration retry_interval = 250ms;
+
+/// The search of one process for the secret.
+struct secret_search : std::enable_shared_from_this<secret_search> {
+    secret_search(asio::io_context& loop, store_runner store, std::string key,
+                  std::function<void(std::string)> on_secret)
+        : m_timer(loop),
+          m_store(std::move(store)),
+          m_key(std::move(key)),
+          m_on_secret(std::move(on_secret))
+    {
+    }
+
+    void look_after(duration delay)
+    {
+        m_timer.expires_after(delay);
+        m_timer.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
+            if (!cancelled) {
+                self->look();
+            }
+        });
+    }
+
+    void look()
+    {
+        m_store(store_read{m_key}, [self = shared_from_this()](const store_outcome& outcome) {
+            const auto* const entries = std::get_if<store_entries>(&outcome);
+            if (entries == nullptr) {
+                self->report_failure(outcome);
+                self->look_after(retry_interval);
+                return;
+            }
+            for (const auto& entry : entries->m_entries) {
+                if (entry.m_key == self->m_key && entry.m_version != 0) {
+                    self->m_on_secret(entry.m_value);
+                    return;
+                }
+            }
+            self->make();
+        });
+    }
+
+    /// Whatever becomes of the write, the store has one secret afterwards, which is read anew.
+    void make()
+    {
+        m_store(store_compare_and_swap{m_key, 0, random_hex(secret_size)},
+                [self = shared_from_this()](const store_outcome& outcome) {
+                    const bool is_done = std::holds_alternative<store_written>(outcome) ||
+                                         std::holds_alternative<store_conflict>(outcome);
+                    self->look_after(is_done ? duration{} : retry_interval);
+                });
+    }
+
+    void report_failure(const store_outcome& outcome)
+    {
+        if (std::exchange(m_has_reported, true)) {
+            return;
+        }
+        const auto* const failure = std::get_if<store_failure>(&outcome);
+        write_warning(log_line{"shared-secret-awaited"}
+                          .add("key", m_key)
+                          .add("reason", failure == nullptr ? "unexpected" : failure->m_detail)
+                          .add("remedy", "Check that the store in the settings answers."));
+    }
+
+    asio::steady_timer m_timer;
+    store_runner m_store;
+    std::string m_key;
+    std::function<void(std::string)> m_on_secret;
+    bool m_has_reported = false;
+};
+
+} // namespace
+
+void obtain_shared_secret(asio::io_context& loop, store_runner store, std::string key,
+                          std::function<void(std::string)> on_secret)
+{
+    std::random_device source;
+    const std::chrono::milliseconds delay{source() % first_delay_ms};
+    std::make_shared<secret_search>(loop, std::move(store), std::move(key), std::move(on_secret))
+        ->look_after(delay);
+}
+
+} // namespace chivevane
--- /dev/null
+++ b/libraries/libhost/shared_secret.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "libhost/platform_hooks.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+namespace chivevane {
+
+/// Gets the secret that all hosts share from the store; makes it if no host has yet. Tries until
+/// the store answers. `on_secret` is called once.
+void obtain_shared_secret(asio::io_context& loop, store_runner store, std::string key,
+                          std::function<void(std::string)> on_secret);
+
+} // namespace chivevane
--- a/libraries/libhost/transfer_runner.h
+++ b/libraries/libhost/transfer_runner.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "libhost/exchange_table.h"
-#include "libhttp/http_client.h"
+#include "libhttp/outgoing_request.h"
 #include "libpolicy/effect.h"
 #include "libpolicy/transfer_events.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 
@@ -20,7 +23,7 @@
 /// length.
 class transfer_runner {
 public:
-    transfer_runner(http_client& client, exchange_table& exchanges,
+    transfer_runner(request_sender& client, exchange_table& exchanges,
                     std::function<void(transfer_news)> on_news);
 
     void start(const start_transfer& order);
@@ -40,12 +43,20 @@
         std::size_t m_unwritten_bytes = 0; ///< Handed to the server, not yet to the system.
         std::uint64_t m_body_bytes = 0;
         bool m_is_paused = false;
+        std::size_t m_held_limit = 0; ///< Bytes of the body to be read before the head is reported.
+        std::optional<response_head> m_held_head; ///< Not reported yet.
+        std::string m_held_body;                  ///< Read before the answer was relayed.
     };
 
+    void take_head(transfer_id transfer, response_head head);
+    void take_end(transfer_id transfer, transfer_end end, std::string detail);
+    void report_head(transfer_id transfer, running_transfer& item);
+    void write_part(transfer_id transfer, running_transfer& item, std::string part);
+
     flow take_body(transfer_id transfer, std::string_view part);
     void on_written(transfer_id transfer, std::size_t size);
 
-    http_client& m_client;
+    request_sender& m_client;
     exchange_table& m_exchanges;
     std::function<void(transfer_news)> m_on_news;
     std::unordered_map<transfer_id, running_transfer> m_transfers;
--- a/libraries/libhttp/http_server.h
+++ b/libraries/libhttp/http_server.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "libbase/instant.h"
+#include "libhttp/answer_port.h"
+#include "libhttp/received_request.h"
 #include "libwire/request_head.h"
 #include "libwire/response_head.h"
 
@@ -24,28 +26,13 @@
     duration m_write_timeout = 60s;                ///< For one write to a slow reader.
 };
 
-/// A request that came in whole. The exchange names it in calls of `http_server`.
-struct received_request {
-    std::uint64_t m_exchange = 0;
-    request_head m_head;
-    std::shared_ptr<const std::string> m_body;
-};
-
-/// Called on the loop that runs the server.
-struct http_server_handlers {
-    std::function<void(received_request)> m_on_request;
-    std::function<void(std::uint64_t exchange)> m_on_gone; ///< The other side closed early.
-};
-
 /// An HTTP/1.1 listener on an Asio loop. All calls are made from that loop.
-class http_server {
+class http_server : public answer_port {
 public:
     /// `last_exchange` counts exchanges; servers of one process share it so that ids are unique.
     http_server(asio::io_context& loop, http_server_options options, http_server_handlers handlers,
                 std::uint64_t& last_exchange);
-    ~http_server();
-    http_server(const http_server&) = delete;
-    http_server& operator=(const http_server&) = delete;
+    ~http_server() override;
 
     /// Starts to listen. Throws std::exception when the address cannot be bound.
     void open();
@@ -55,22 +42,12 @@
 
     bool has_exchange(std::uint64_t exchange) const;
 
-    /// Answers with a whole body and ends the exchange.
-    void respond(std::uint64_t exchange, const response_head& head, std::string body);
-
-    /// Writes the head of an answer whose body follows by `write`. A Content-Length field in `head`
-    /// sets the framing; without one the body is sent in chunks.
-    void begin(std::uint64_t exchange, const response_head& head);
-
-    /// Writes a part of the body; `on_written` is called when it was handed to the system, or with
-    /// false when the connection is gone.
-    void write(std::uint64_t exchange, std::string part, std::function<void(bool)> on_written);
-
-    /// Ends an answer that was written whole.
-    void finish(std::uint64_t exchange);
-
-    /// Closes the connection, so that the answer is visibly incomplete.
-    void abort(std::uint64_t exchange);
+    void respond(std::uint64_t exchange, const response_head& head, std::string body) override;
+    void begin(std::uint64_t exchange, const response_head& head) override;
+    void write(std::uint64_t exchange, std::string part,
+               std::function<void(bool)> on_written) override;
+    void finish(std::uint64_t exchange) override;
+    void abort(std::uint64_t exchange) override;
 
 private:
     class implementation;
--- /dev/null
+++ b/libraries/libhttp/traffic_client.cpp
@@ -0,0 +1,209 @@
+#include "libhttp/traffic_client.h"
+
+#include "libhttp/outgoing_connection.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <unordered_map>
+#include <vector>
+
+namespace chivevane {
+
+namespace {
+
+/// Longest pause of a connection for requests that must not meet one that is being closed.
+constexpr duration recent_use = 1s;
+
+constexpr std::size_t max_idle_per_address = 32;
+
+/// Time between two looks for idle connections that are past their use.
+constexpr duration sweep_interval = 5s;
+
+instant current_time()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+class traffic_client::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    explicit implementation(asio::io_context& loop)
+        : m_loop(loop),
+          m_sweep_timer(loop),
+          m_host{[this](outgoing_connection& connection, connection_fate fate) {
+                     on_free(connection, fate);
+                 },
+                 [this](outgoing_connection& connection) { forget_idle(connection); }}
+    {
+    }
+
+    void start(std::uint64_t id, outgoing_request request, transfer_handlers handlers)
+    {
+        ++m_counters.m_requests_sent;
+        const auto pool = fmt::format("{}:{}", request.m_ip, request.m_port);
+        if (auto connection = take_idle(pool, request.m_connection)) {
+            m_busy[id] = connection;
+            connection->send(id, std::move(request), std::move(handlers));
+            return;
+        }
+        ++m_counters.m_connections_opened;
+        auto connection = std::make_shared<outgoing_connection>(m_loop.get_executor(), m_host);
+        m_busy[id] = connection;
+        connection->open(id, std::move(request), std::move(handlers));
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        if (auto node = m_busy.extract(id); !node.empty()) {
+            node.mapped()->close();
+        }
+    }
+
+    void resume(std::uint64_t id)
+    {
+        asio::post(m_loop, [self = shared_from_this(), id] {
+            const auto found = self->m_busy.find(id);
+            if (found != self->m_busy.end()) {
+                const auto connection = found->second;
+                connection->resume();
+            }
+        });
+    }
+
+    void close_all()
+    {
+        m_sweep_timer.cancel();
+        for (const auto& [id, connection] : m_busy) {
+            connection->close();
+        }
+        for (const auto& [pool, connections] : m_idle) {
+            for (const auto& connection : connections) {
+                connection->close();
+            }
+        }
+        m_busy.clear();
+        m_idle.clear();
+    }
+
+    traffic_client_counters m_counters;
+
+private:
+    using connection_list = std::vector<std::shared_ptr<outgoing_connection>>; ///< Oldest first.
+
+    /// The idle connection that was used last, if it fits.
+    std::shared_ptr<outgoing_connection> take_idle(const std::string& pool,
+                                                   connection_choice choice)
+    {
+        const auto found = m_idle.find(pool);
+        if (choice == connection_choice::fresh || found == m_idle.end() || found->second.empty()) {
+            return nullptr;
+        }
+        const auto& last = found->second.back();
+        const auto now = current_time();
+        const bool is_recent = now - last->idle_since() < recent_use;
+        if (now >= last->usable_until() || (choice == connection_choice::recent && !is_recent)) {
+            return nullptr;
+        }
+        auto connection = last;
+        found->second.pop_back();
+        return connection;
+    }
+
+    void on_free(outgoing_connection& connection, connection_fate fate)
+    {
+        m_busy.erase(connection.transfer());
+        if (fate == connection_fate::closed) {
+            return;
+        }
+        auto& idle = m_idle[connection.pool()];
+        idle.push_back(connection.shared_from_this());
+        if (idle.size() > max_idle_per_address) {
+            idle.front()->close();
+            idle.erase(idle.begin());
+        }
+        sweep_later();
+    }
+
+    void forget_idle(outgoing_connection& connection)
+    {
+        if (const auto found = m_idle.find(connection.pool()); found != m_idle.end()) {
+            std::erase_if(found->second,
+                          [&](const auto& each) { return each.get() == &connection; });
+        }
+    }
+
+    void sweep_later()
+    {
+        if (m_is_sweeping) {
+            return;
+        }
+        m_is_sweeping = true;
+        m_sweep_timer.expires_after(sweep_interval);
+        m_sweep_timer.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
+            self->m_is_sweeping = false;
+            if (!cancelled) {
+                self->sweep();
+            }
+        });
+    }
+
+    void sweep()
+    {
+        const auto now = current_time();
+        for (auto& [pool, connections] : m_idle) {
+            std::erase_if(connections, [now](const auto& connection) {
+                const bool is_over = now >= connection->usable_until();
+                if (is_over) {
+                    connection->close();
+                }
+                return is_over;
+            });
+        }
+        std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+        if (!m_idle.empty()) {
+            sweep_later();
+        }
+    }
+
+    asio::io_context& m_loop;
+    asio::steady_timer m_sweep_timer;
+    bool m_is_sweeping = false;
+    outgoing_connection_host m_host;
+    std::unordered_map<std::uint64_t, std::shared_ptr<outgoing_connection>> m_busy;
+    std::unordered_map<std::string, connection_list> m_idle; ///< By ip:port.
+};
+
+traffic_client::traffic_client(asio::io_context& loop)
+    : m_implementation(std::make_shared<implementation>(loop))
+{
+}
+
+traffic_client::~traffic_client()
+{
+    m_implementation->close_all();
+}
+
+void traffic_client::start(std::uint64_t transfer, outgoing_request request,
+                           transfer_handlers handlers)
+{
+    m_implementation->start(transfer, std::move(request), std::move(handlers));
+}
+
+void traffic_client::cancel(std::uint64_t transfer)
+{
+    m_implementation->cancel(transfer);
+}
+
+void traffic_client::resume(std::uint64_t transfer)
+{
+    m_implementation->resume(transfer);
+}
+
+const traffic_client_counters& traffic_client::counters() const
+{
+    return m_implementation->m_counters;
+}
+
+} // namespace chivevane
--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -9,35 +9,82 @@
 
 constexpr std::size_t queue_for_each_running = 16; // More would wait longer than callers do.
 
-bool has_room(const upstream_admission& upstream, instant now)
+/// Share of the slots up to which an attempt that may not wait is started: the last ones are left
+/// for bursts, and upstreams that are nearly full answer slowly.
+constexpr double idle_share = 0.75;
+
+/// Starts per second of a warm upstream, relative to a cold one's: it may have become cold
+/// unnoticed, and a cold one must not be given much more.
+constexpr double warm_factor = 1.4;
+
+/// How many attempts run at once. Where it is told what a cold upstream bears, the rate of starts
+/// protects it; otherwise its answers tell.
+std::uint32_t concurrency_of(const upstream_admission& upstream)
+{
+    return upstream.m_cold_rate > 0 ? upstream.m_limit.m_slots : upstream.m_limit.m_limit;
+}
+
+std::uint32_t starts_per_second(const upstream_admission& upstream)
+{
+    const auto factor = upstream.m_announced == upstream_warmth::cold ? 1.0 : warm_factor;
+    return std::max(1U, static_cast<std::uint32_t>(upstream.m_cold_rate * factor));
+}
+
+bool may_start_by_rate(upstream_admission& upstream, instant now)
+{
+    return upstream.m_cold_rate <= 0 ||
+           may_start(upstream.m_starts, starts_per_second(upstream), now);
+}
+
+bool has_room(upstream_admission& upstream, instant now)
+{
+    return upstream.m_running < concurrency_of(upstream) &&
+           now >= upstream.m_limit.m_paused_until && may_start_by_rate(upstream, now);
+}
+
+/// Whether the upstream has room to spare.
+bool is_idle(upstream_admission& upstream, instant now)
 {
-    return upstream.m_running < upstream.m_limit.m_limit && now >= upstream.m_limit.m_paused_until;
+    const auto idle =
+        std::max(1U, static_cast<std::uint32_t>(concurrency_of(upstream) * idle_share));
+    return upstream.m_running < idle && has_room(upstream, now);
+}
+
+instant next_start_by_rate(const upstream_admission& upstream)
+{
+    return upstream.m_cold_rate > 0 ? next_start(upstream.m_starts, starts_per_second(upstream))
+                                    : instant{};
+}
+
+void note_started(upstream_admission& upstream, instant now)
+{
+    ++upstream.m_running;
+    if (upstream.m_cold_rate > 0) {
+        note_start(upstream.m_starts, now);
+    }
 }
 
 /// How many attempts of one organisation may wait: an even part of the queue.
-std::size_t longest_line(const upstream_admission& upstream, std::string_view organisation)
+std::size_t longest_line(const upstream_admission& upstream, const queue_line& line)
 {
-    const auto others =
-        upstream.m_queue.m_waiting.size() - upstream.m_queue.m_waiting.count(organisation);
-    const auto places = queue_for_each_running * upstream.m_limit.m_limit;
+    const auto others = upstream.m_queue.m_waiting.size() - upstream.m_queue.m_waiting.count(line);
+    const auto places = queue_for_each_running * concurrency_of(upstream);
     return std::max<std::size_t>(1, places / (others + 1));
 }
 
-/// When a new attempt of `organisation` would have its answer.
-instant expected_answer(const upstream_admission& upstream, std::string_view organisation,
-                        instant now)
+/// When a new attempt of `line` would have its answer.
+instant expected_answer(const upstream_admission& upstream, const queue_line& line, instant now)
 {
     const auto typical = typical_latency(upstream.m_limit);
-    const auto before =
-        static_cast<std::int64_t>(count_before(upstream.m_queue, organisation, now));
-    return now + typical + typical * before / upstream.m_limit.m_limit;
+    const auto before = static_cast<std::int64_t>(count_before(upstream.m_queue, line, now));
+    return now + typical + typical * before / concurrency_of(upstream);
 }
 
 bool may_wait(const upstream_admission& upstream, const queued_attempt& attempt, instant now)
 {
-    const auto& organisation = attempt.m_organisation;
-    return waiting_of(upstream.m_queue, organisation) < longest_line(upstream, organisation) &&
-           expected_answer(upstream, organisation, now) <= attempt.m_deadline;
+    const auto line = line_of(attempt);
+    return waiting_of(upstream.m_queue, line) < longest_line(upstream, line) &&
+           expected_answer(upstream, line, now) <= attempt.m_deadline;
 }
 
 } // namespace
@@ -56,6 +103,27 @@
     upstream.m_announced = warmth;
 }
 
+void set_cold_rate(admission_state& state, std::string_view endpoint, double starts_per_second)
+{
+    if (const auto found = state.m_upstreams.find(endpoint); found != state.m_upstreams.end()) {
+        found->second.m_cold_rate = starts_per_second;
+    }
+}
+
+void block_starts(admission_state& state, std::string_view endpoint, instant until)
+{
+    if (const auto found = state.m_upstreams.find(endpoint); found != state.m_upstreams.end()) {
+        found->second.m_starts.m_blocked_until = until;
+    }
+}
+
+std::vector<queued_attempt> take_waiting(admission_state& state, std::string_view endpoint)
+{
+    const auto found = state.m_upstreams.find(endpoint);
+    return found == state.m_upstreams.end() ? std::vector<queued_attempt>{}
+                                            : take_due(found->second.m_queue, instant::max());
+}
+
 std::vector<queued_attempt> remove_upstream(admission_state& state, std::string_view endpoint)
 {
     const auto found = state.m_upstreams.find(endpoint);
@@ -74,11 +142,16 @@
         return verdict::refused;
     }
     auto& upstream = found->second;
-    if (upstream.m_queue.m_size == 0 && has_room(upstream, now)) {
-        ++upstream.m_running;
-        note_given(upstream.m_queue, attempt.m_organisation, now);
+    const bool must_start = attempt.m_waiting == link_waiting::forbidden;
+    if (upstream.m_queue.m_size == 0 &&
+        (must_start ? is_idle(upstream, now) : has_room(upstream, now))) {
+        note_started(upstream, now);
+        note_given(upstream.m_queue, line_of(attempt), now);
         return verdict::start;
     }
+    if (must_start) {
+        return verdict::refused;
+    }
     if (!may_wait(upstream, attempt, now)) {
         return verdict::refused;
     }
@@ -115,7 +188,7 @@
     for (auto& [endpoint, upstream] : state.m_upstreams) {
         while (upstream.m_queue.m_size > 0 && has_room(upstream, now)) {
             startable.push_back(*pop(upstream.m_queue, now));
-            ++upstream.m_running;
+            note_started(upstream, now);
         }
     }
     return startable;
@@ -138,7 +211,8 @@
         return {};
     }
     const auto& upstream = found->second;
-    return {upstream.m_limit.m_limit, static_cast<std::uint32_t>(upstream.m_queue.m_size)};
+    return {concurrency_of(upstream), static_cast<std::uint32_t>(upstream.m_queue.m_size),
+            upstream.m_running};
 }
 
 instant next_wakeup(const admission_state& state)
@@ -150,8 +224,9 @@
         }
         const auto typical = typical_latency(upstream.m_limit);
         earliest = std::min(earliest, upstream.m_queue.m_earliest_deadline - typical);
-        if (upstream.m_running < upstream.m_limit.m_limit) {
-            earliest = std::min(earliest, upstream.m_limit.m_paused_until);
+        if (upstream.m_running < concurrency_of(upstream)) {
+            earliest = std::min(
+                earliest, std::max(upstream.m_limit.m_paused_until, next_start_by_rate(upstream)));
         }
     }
     return earliest;
--- a/libraries/libpolicy/admission/admission.h
+++ b/libraries/libpolicy/admission/admission.h
@@ -27,9 +27,18 @@
 void set_upstream(admission_state& state, std::string_view endpoint, std::uint32_t slots,
                   upstream_warmth warmth, upstream_news news, instant now);
 
+/// Sets what the upstream bears while it is cold, in starts per second; 0 if it is not told.
+void set_cold_rate(admission_state& state, std::string_view endpoint, double starts_per_second);
+
+/// Starts nothing on a cold upstream before `until`, since an earlier process may have.
+void block_starts(admission_state& state, std::string_view endpoint, instant until);
+
 /// Removes an upstream that is gone; returns the attempts that waited for it.
 std::vector<queued_attempt> remove_upstream(admission_state& state, std::string_view endpoint);
 
+/// Takes out all attempts that wait for an upstream.
+std::vector<queued_attempt> take_waiting(admission_state& state, std::string_view endpoint);
+
 /// Admits, queues or refuses an attempt. An admitted one counts as running until `finished`.
 verdict offer(admission_state& state, const queued_attempt& attempt, instant now);
 
@@ -50,6 +59,7 @@
 struct load {
     std::uint32_t m_concurrency = 0;
     std::uint32_t m_queued = 0;
+    std::uint32_t m_running = 0;
 };
 load load_of(const admission_state& state, std::string_view endpoint);
 
--- a/libraries/libpolicy/admission/admission_state.h
+++ b/libraries/libpolicy/admission/admission_state.h
@@ -3,6 +3,7 @@
 #include "libpolicy/admission/concurrency_limit.h"
 #include "libpolicy/admission/fair_queue.h"
 #include "libpolicy/admission/queued_attempt.h"
+#include "libpolicy/admission/start_window.h"
 #include "libwire/upstream_summary.h"
 
 #include <cstdint>
@@ -17,6 +18,8 @@
     admission::concurrency_limit m_limit;
     upstream_warmth m_announced = upstream_warmth::cold;
     std::uint32_t m_running = 0;
+    double m_cold_rate = 0; ///< Starts per second that it bears while cold; 0 if not told.
+    admission::start_window m_starts;
     admission::fair_queue m_queue;
 };
 
--- a/libraries/libpolicy/admission/queued_attempt.h
+++ b/libraries/libpolicy/admission/queued_attempt.h
@@ -2,7 +2,9 @@
 
 #include "libbase/instant.h"
 #include "libwire/attempt_id.h"
+#include "libwire/link_head.h"
 
+#include <cstdint>
 #include <string>
 
 namespace chivevane {
@@ -11,8 +13,10 @@
 struct queued_attempt {
     attempt_id m_attempt;
     std::string m_endpoint;
-    std::string m_organisation; ///< document/organisation; empty on routes open to all.
-    instant m_deadline;         ///< When the caller gives up.
+    std::string m_organisation;   ///< document/organisation; empty on routes open to all.
+    instant m_deadline;           ///< When the caller gives up.
+    std::uint32_t m_priority = 0; ///< 0 is started first.
+    link_waiting m_waiting = link_waiting::allowed;
 };
 
 } // namespace chivevane
--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -162,6 +162,11 @@
            now - *state.m_confirmed_at <= confirmation_timeout;
 }
 
+bool may_serve(const configuration_state& state, stale_rules policy, instant now)
+{
+    return policy == stale_rules::serve ? !state.m_documents.empty() : may_serve(state, now);
+}
+
 const key_owner* find_key(const configuration_state& state, std::string_view digest)
 {
     const auto found = state.m_keys.find(std::string{digest});
@@ -175,12 +180,26 @@
         const document& rules = *entry.second.m_rules;
         const bool names_service =
             std::any_of(rules.m_routes.begin(), rules.m_routes.end(),
-                        [&](const route& candidate) { return candidate.m_service == service; });
+                        [&](const route& each) { return chivevane::names_service(each, service); });
         const auto& out = rules.m_datacentres_out;
         return names_service && std::find(out.begin(), out.end(), datacentre) != out.end();
     });
 }
 
+double cold_rate_of(const configuration_state& state, std::string_view service)
+{
+    double least = 0;
+    for (const auto& [name, held] : state.m_documents) {
+        for (const auto& policy : held.m_rules->m_services) {
+            const bool is_told = policy.m_name == service && policy.m_cold_rate > 0;
+            if (is_told && (least <= 0 || policy.m_cold_rate < least)) {
+                least = policy.m_cold_rate;
+            }
+        }
+    }
+    return least;
+}
+
 std::vector<host_revision> rollout(const configuration_state& state, std::string_view name)
 {
     std::vector<host_revision> revisions{{state.m_own_name, own_revision(state, name)}};
--- a/libraries/libpolicy/configuration/configuration.h
+++ b/libraries/libpolicy/configuration/configuration.h
@@ -54,6 +54,9 @@
 /// the store or the peers know, as of a bounded time ago.
 bool may_serve(const configuration_state& state, instant now);
 
+/// Whether requests may be judged by the documents in force under `policy`.
+bool may_serve(const configuration_state& state, stale_rules policy, instant now);
+
 /// The owner of the key with this digest; null if no document in force has it.
 const key_owner* find_key(const configuration_state& state, std::string_view digest);
 
@@ -61,6 +64,10 @@
 bool is_datacentre_out(const configuration_state& state, std::string_view service,
                        std::string_view datacentre);
 
+/// Starts per second that a cold upstream of `service` bears: the least that a document tells, or 0
+/// if none does.
+double cold_rate_of(const configuration_state& state, std::string_view service);
+
 /// Which revision of a document a host has in force.
 struct host_revision {
     std::string m_host;
--- a/libraries/libpolicy/context.h
+++ b/libraries/libpolicy/context.h
@@ -6,6 +6,7 @@
 #include "libpolicy/host_settings.h"
 
 #include <cstdint>
+#include <utility>
 
 namespace chivevane {
 
@@ -25,9 +26,12 @@
     return ++surroundings.m_last_id;
 }
 
-inline void emit(context& surroundings, effect item)
+/// Adds an effect. Made in place: GCC 12 takes the move of a whole `effect` for a use of what is
+/// not initialised.
+template <typename Item>
+void emit(context& surroundings, Item&& item)
 {
-    surroundings.m_effects.push_back(std::move(item));
+    surroundings.m_effects.emplace_back(std::forward<Item>(item));
 }
 
 } // namespace chivevane
--- a/libraries/libpolicy/effect.h
+++ b/libraries/libpolicy/effect.h
@@ -9,6 +9,7 @@
 #include "libwire/store_operation.h"
 #include "libwire/transfer.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
     bool operator==(const respond&) const = default;
 };
 
+/// Who is at the other end of a transfer.
+enum class transfer_peer : std::uint8_t { host, upstream };
+
 /// Sends a request with the body of an exchange to `m_ip`:`m_port`.
 struct start_transfer {
     transfer_id m_transfer = 0;
@@ -36,6 +40,10 @@
     connection_choice m_connection = connection_choice::reuse;
     duration m_connect_timeout{};
     duration m_stall_timeout{}; ///< Longest pause between body bytes that the reader is ready for.
+    transfer_peer m_peer = transfer_peer::host;
+    /// Bytes of the answer's body that are read before its head is reported: an answer that breaks
+    /// off within them is reported as none at all.
+    std::size_t m_held_body = 0;
 
     bool operator==(const start_transfer&) const = default;
 };
--- a/libraries/libpolicy/gate/crash_reports.cpp
+++ b/libraries/libpolicy/gate/crash_reports.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t sends_per_report =
-    10; // At 30% loss 3 left some host without the news in one of 30 cases.
 constexpr duration send_interval = 5ms; // Shorter than a caller's next request takes.
 constexpr std::size_t max_announcements = 1024;
 
@@ -39,7 +37,8 @@
     if (announcements.size() >= max_announcements) {
         announcements.pop_front();
     }
-    announcements.push_back({report, service, sends_per_report, surroundings.m_now});
+    announcements.push_back({report, service, surroundings.m_settings.m_timing.m_crash_report_sends,
+                             surroundings.m_now});
     send_reports(node, surroundings);
 }
 
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -13,6 +13,7 @@
 #include "libpolicy/refusal.h"
 
 #include <algorithm>
+#include <array>
 
 namespace chivevane::gate {
 
@@ -25,6 +26,16 @@
     return age >= 0 && age < tombstone_lifetime.count();
 }
 
+/// Fields that the gate alone gives to an upstream.
+constexpr std::array<std::string_view, 4> upstream_fields{"X-Request-Id", "X-Request-Timeout-Ms",
+                                                          "X-Expected-Endpoint", "X-Organisation"};
+
+bool may_repeat(const link_head& link, std::string_view method)
+{
+    return link.m_repeat == link_repeat::by_method ? is_idempotent(method)
+                                                   : link.m_repeat == link_repeat::allowed;
+}
+
 bool is_full(const gate_state& state)
 {
     return state.m_attempts.size() + state.m_tombstones.m_fates.size() >= max_remembered_attempts;
@@ -45,7 +56,7 @@
         return *fate == attempt_fate::not_run ? arrival::known_not_run : arrival::may_have_run;
     }
     if (link.m_gate_clock == 0) {
-        return is_idempotent(method) ? arrival::taken_on : arrival::needs_clock;
+        return may_repeat(link, method) ? arrival::taken_on : arrival::needs_clock;
     }
     return is_fresh(link.m_gate_clock, surroundings.m_now) ? arrival::taken_on
                                                            : arrival::may_have_run;
@@ -60,11 +71,12 @@
     attempt.m_link = link;
     attempt.m_head = forwardable_request(request.m_head);
     std::erase_if(attempt.m_head.m_fields, [](const http_field& field) {
-        return equal_ignoring_case(field.m_name, "X-Request-Id") ||
-               equal_ignoring_case(field.m_name, "X-Request-Timeout-Ms");
+        return std::any_of(upstream_fields.begin(), upstream_fields.end(), [&](const auto name) {
+            return equal_ignoring_case(field.m_name, name);
+        });
     });
     attempt.m_repeat =
-        is_idempotent(request.m_head.m_method) ? gate_repeat::allowed : gate_repeat::forbidden;
+        may_repeat(link, request.m_head.m_method) ? gate_repeat::allowed : gate_repeat::forbidden;
     attempt.m_deadline = surroundings.m_now + link.m_time_left;
     state.m_by_exchange[request.m_exchange] = link.m_attempt;
     state.m_attempts.emplace(link.m_attempt, std::move(attempt));
@@ -88,6 +100,11 @@
     admit(node, surroundings, link.m_attempt);
 }
 
+/// Field of an upstream's answer: it did not run the request and never will.
+constexpr std::string_view not_run_field = "X-Not-Run";
+
+constexpr std::uint16_t status_misdirected = 421; // RFC 9110 section 15.5.20
+
 bool is_load_refusal(const response_head& head)
 {
     return head.m_status == 429 || head.m_status == 503;
@@ -102,9 +119,10 @@
 void end_without_answer(node_state& node, context& surroundings, const attempt_id& id,
                         const transfer_ended& end)
 {
-    const auto& attempt = node.m_gate.m_attempts.at(id);
+    auto& attempt = node.m_gate.m_attempts.at(id);
     const bool never_sent =
         end.m_end == transfer_end::connect_failed && attempt.m_repeat != gate_repeat::used;
+    note_outcome(node, surroundings, attempt, circuit::run_outcome::failed);
     std::string strike;
     if (end.m_end == transfer_end::broken || end.m_end == transfer_end::truncated) {
         strike = report_break(node, surroundings, attempt);
@@ -112,10 +130,34 @@
     give_evidence(node, surroundings, attempt, run_evidence::broke_off);
     const auto outcome = never_sent ? request_outcome::not_run : request_outcome::unknown;
     answer_refusal(surroundings, attempt.m_exchange, id, {refusal_kind::upstream_failed, outcome},
-                   strike);
+                   strike, load_fields(node, attempt.m_link.m_endpoint));
     end_run(node, surroundings, id, never_sent ? attempt_fate::not_run : attempt_fate::may_run);
 }
 
+/// The upstream answered that it did not run the request.
+void end_refused_by_upstream(node_state& node, context& surroundings, const attempt_id& id,
+                             const transfer_head& answer)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    emit(surroundings, cancel_transfer{answer.m_transfer});
+    attempt.m_phase = gate_phase::relaying;
+    attempt.m_latency = surroundings.m_now - attempt.m_handed_over_at;
+    attempt.m_was_load_refused = is_load_refusal(answer.m_head);
+    if (answer.m_head.m_status == status_misdirected) {
+        const auto upstream = node.m_gate.m_upstreams.find(attempt.m_link.m_endpoint);
+        if (upstream != node.m_gate.m_upstreams.end()) {
+            upstream->second.m_is_replaced = true;
+        }
+    }
+    else {
+        note_outcome(node, surroundings, attempt, circuit::run_outcome::refused);
+    }
+    answer_refusal(surroundings, attempt.m_exchange, id,
+                   {refusal_kind::upstream_refused, request_outcome::not_run, 1s}, {},
+                   load_fields(node, attempt.m_link.m_endpoint));
+    end_run(node, surroundings, id, attempt_fate::not_run);
+}
+
 void end_relay(node_state& node, context& surroundings, const attempt_id& id,
                const transfer_ended& end)
 {
@@ -173,11 +215,22 @@
     return attempt_fate::not_run;
 }
 
+/// Sends back what waits for an upstream that takes no new work.
+void refuse_waiting(node_state& node, context& surroundings, std::string_view endpoint)
+{
+    for (const auto& waiting : admission::take_waiting(node.m_admission, endpoint)) {
+        refuse_attempt(node, surroundings, waiting.m_attempt, refusal_kind::no_upstream);
+    }
+}
+
 } // namespace
 
 void on_announced(node_state& node, context& surroundings, const upstream_announced& news)
 {
     adopt_announcement(node, surroundings, news);
+    if (news.m_phase != upstream_phase::serving) {
+        refuse_waiting(node, surroundings, news.m_endpoint);
+    }
     start_waiting(node, surroundings);
 }
 
@@ -222,6 +275,12 @@
         refuse_attempt(node, surroundings, id, refusal_kind::deadline_exceeded);
         return;
     }
+    if (attempt.m_repeat == gate_repeat::forbidden && attempt.m_phase == gate_phase::running) {
+        // Breaking off would leave half of its work done; its answer is dropped.
+        node.m_gate.m_by_exchange.erase(exchange);
+        node.m_gate.m_attempts.at(id).m_exchange = 0;
+        return;
+    }
     emit(surroundings, cancel_transfer{attempt.m_transfer});
     end_run(node, surroundings, id, attempt_fate::may_run);
 }
@@ -231,8 +290,13 @@
     auto& state = node.m_gate;
     const attempt_id id = state.m_by_transfer.at(answer.m_transfer);
     auto& attempt = state.m_attempts.at(id);
+    if (find_field(answer.m_head.m_fields, not_run_field)) {
+        end_refused_by_upstream(node, surroundings, id, answer);
+        return;
+    }
     if (is_crossed(answer.m_head, id)) {
         emit(surroundings, cancel_transfer{answer.m_transfer});
+        note_outcome(node, surroundings, attempt, circuit::run_outcome::failed);
         give_evidence(node, surroundings, attempt, run_evidence::crossed);
         answer_refusal(surroundings, attempt.m_exchange, id,
                        {refusal_kind::upstream_failed, request_outcome::unknown});
@@ -245,8 +309,19 @@
     attempt.m_latency = surroundings.m_now - attempt.m_handed_over_at;
     attempt.m_was_load_refused = is_load_refusal(answer.m_head);
     attempt.m_has_failed = answer.m_head.m_status >= 500 && !attempt.m_was_load_refused;
+    note_outcome(node, surroundings, attempt,
+                 answer.m_head.m_status >= 500 ? circuit::run_outcome::failed
+                                               : circuit::run_outcome::good);
+    if (attempt.m_exchange == 0) {
+        emit(surroundings, cancel_transfer{answer.m_transfer});
+        end_run(node, surroundings, id, attempt_fate::may_run);
+        return;
+    }
     auto head = forwardable_response(answer.m_head);
     add_echo(surroundings, head, id, "run");
+    for (auto& field : load_fields(node, attempt.m_link.m_endpoint)) {
+        head.m_fields.push_back(std::move(field));
+    }
     emit(surroundings, relay_transfer{answer.m_transfer, attempt.m_exchange, std::move(head)});
     if (!attempt.m_was_load_refused) {
         give_evidence(node, surroundings, attempt, run_evidence::answered);
--- a/libraries/libpolicy/gate/gate_answers.cpp
+++ b/libraries/libpolicy/gate/gate_answers.cpp
@@ -2,6 +2,10 @@
 
 #include "libwire/link_head.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
+
 namespace chivevane::gate {
 
 namespace {
@@ -32,7 +36,8 @@
 }
 
 void answer_refusal(context& surroundings, exchange_id exchange, const attempt_id& attempt,
-                    const refusal& reason, std::string_view strike)
+                    const refusal& reason, std::string_view strike,
+                    std::vector<http_field> more_fields)
 {
     auto answer = make_refusal(exchange, reason);
     add_echo(surroundings, answer.m_head, attempt, fate_name(reason.m_outcome));
@@ -40,9 +45,15 @@
     if (!strike.empty()) {
         add_field(answer.m_head, strike_field, strike);
     }
+    std::move(more_fields.begin(), more_fields.end(), std::back_inserter(answer.m_head.m_fields));
     emit(surroundings, std::move(answer));
 }
 
+void add_load(response_head& head, const admission::load& load, std::uint32_t slots)
+{
+    add_field(head, load_field, fmt::format("{}/{}/{}", load.m_running, slots, load.m_queued));
+}
+
 void ask_for_clock(context& surroundings, exchange_id exchange, const attempt_id& attempt)
 {
     auto answer = make_refusal(exchange, {refusal_kind::overloaded});
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "libbase/instant.h"
+#include "libpolicy/gate/circuit.h"
 #include "libpolicy/gate/gate_events.h"
 #include "libpolicy/gate/known_revisions.h"
 #include "libpolicy/gate/quarantine.h"
 #include "libpolicy/gate/tombstones.h"
 #include "libpolicy/identifiers.h"
+#include "libpolicy/latency_tracker.h"
 #include "libwire/attempt_id.h"
 #include "libwire/fate_messages.h"
 #include "libwire/host_address.h"
@@ -27,6 +29,9 @@
     upstream_announced m_latest;
     instant m_expires_at;        ///< Gone unless it announces itself before.
     double m_repeat_balance = 0; ///< Attempts that may be repeated on a fresh connection.
+    upstream_circuit m_circuit;
+    latency_tracker m_latencies;
+    bool m_is_replaced = false; ///< It answered that it is another; it must announce itself anew.
 };
 
 /// How far an attempt has come at the gate.
@@ -42,7 +47,7 @@
 
 /// An attempt that the gate has not finished.
 struct gate_attempt {
-    exchange_id m_exchange = 0;
+    exchange_id m_exchange = 0; ///< 0 once nobody waits for the answer.
     transfer_id m_transfer = 0; ///< 0 until handed over.
     link_head m_link;
     request_head m_head; ///< As the upstream gets it.
@@ -54,6 +59,9 @@
     duration m_latency{};           ///< From hand-over to the head of the answer.
     bool m_has_failed = false;      ///< The upstream answered with a server error.
     bool m_was_load_refused = false;
+    bool m_is_trial = false;          ///< Tests whether the upstream still fails.
+    bool m_is_silent = false;         ///< Has waited for an answer for suspiciously long.
+    bool m_is_judged = false;         ///< The circuit has taken its outcome in.
     std::uint64_t m_upstream_run = 0; ///< Of the upstream, at the hand-over.
 };
 
--- a/libraries/libpolicy/gate/local_upstreams.cpp
+++ b/libraries/libpolicy/gate/local_upstreams.cpp
@@ -6,6 +6,13 @@
 
 namespace chivevane::gate {
 
+namespace {
+
+/// Requests that an earlier process of this host sent may have arrived this long after its end.
+constexpr duration earlier_starts_count = 1s;
+
+} // namespace
+
 void adopt_announcement(node_state& node, context& surroundings, const upstream_announced& news)
 {
     const auto [place, is_unknown] = node.m_gate.m_upstreams.try_emplace(news.m_endpoint);
@@ -13,13 +20,19 @@
     const bool is_new = is_unknown || upstream.m_latest.m_run != news.m_run;
     if (is_new) {
         upstream.m_repeat_balance = 1;
+        upstream.m_circuit = {};
     }
+    upstream.m_is_replaced = false;
     upstream.m_latest = news;
     upstream.m_expires_at = surroundings.m_now + news.m_time_to_live;
     admission::set_upstream(node.m_admission, news.m_endpoint, news.m_slots, news.m_warmth,
                             is_new ? admission::upstream_news::started_anew
                                    : admission::upstream_news::announced_again,
                             surroundings.m_now);
+    if (is_unknown && news.m_warmth == upstream_warmth::cold) {
+        admission::block_starts(node.m_admission, news.m_endpoint,
+                                node.m_configuration.m_started_at + earlier_starts_count);
+    }
     publish_upstreams(node);
 }
 
@@ -55,7 +68,7 @@
 const local_upstream* find_serving(const gate_state& state, std::string_view endpoint)
 {
     const auto found = state.m_upstreams.find(endpoint);
-    const bool is_serving = found != state.m_upstreams.end() &&
+    const bool is_serving = found != state.m_upstreams.end() && !found->second.m_is_replaced &&
                             found->second.m_latest.m_phase == upstream_phase::serving;
     return is_serving ? &found->second : nullptr;
 }
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -1,6 +1,7 @@
 #include "libpolicy/gate/running_attempts.h"
 
 #include "libpolicy/admission/admission.h"
+#include "libpolicy/configuration/configuration.h"
 #include "libpolicy/gate/crash_reports.h"
 #include "libpolicy/gate/gate_answers.h"
 #include "libpolicy/gate/local_upstreams.h"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <fmt/format.h>
 #include <utility>
 
 namespace chivevane::gate {
@@ -17,6 +19,15 @@
 namespace {
 
 constexpr duration connect_timeout = 1s;
+
+/// Answers up to this size are read whole before they are passed on, so that one that breaks off
+/// can still be replaced by another upstream's. Bytes.
+constexpr std::size_t held_body = 1024 * 1024;
+
+bool is_probing(const context& surroundings)
+{
+    return surroundings.m_settings.m_placement == placement_mode::probing;
+}
 constexpr duration stall_timeout = 10s;
 constexpr double repeats_per_run = 0.02; // With the 8% of the ingresses' retries: 10% in all.
 constexpr double max_repeats = 2;
@@ -34,8 +45,13 @@
 instant next_look(const node_state& node, const gate_attempt& attempt, instant now)
 {
     const auto& link = attempt.m_link;
-    const auto limit = silence_limit(node.m_health, link.m_service, link.m_route,
-                                     attempt.m_deadline - attempt.m_handed_over_at);
+    const auto bound = attempt.m_deadline - attempt.m_handed_over_at;
+    const auto upstream = node.m_gate.m_upstreams.find(link.m_endpoint);
+    const bool is_tracked = node.m_settings.m_placement == placement_mode::probing &&
+                            upstream != node.m_gate.m_upstreams.end();
+    const auto limit = is_tracked
+                           ? suspicious_silence(upstream->second.m_latencies, link.m_route, bound)
+                           : silence_limit(node.m_health, link.m_service, link.m_route, bound);
     return limit ? std::min(attempt.m_deadline, now + *limit) : attempt.m_deadline;
 }
 
@@ -51,9 +67,15 @@
         std::max<std::int64_t>(1, to_milliseconds(attempt.m_deadline - surroundings.m_now));
     head.m_fields.push_back({"X-Request-Id", to_string(attempt.m_link.m_attempt)});
     head.m_fields.push_back({"X-Request-Timeout-Ms", std::to_string(time_left)});
-    emit(surroundings,
-         start_transfer{attempt.m_transfer, attempt.m_exchange, upstream.m_ip, upstream.m_port,
-                        std::move(head), connection, connect_timeout, stall_timeout});
+    head.m_fields.push_back({"X-Expected-Endpoint", attempt.m_link.m_endpoint});
+    if (!attempt.m_link.m_organisation.empty()) {
+        head.m_fields.push_back({"X-Organisation", attempt.m_link.m_organisation});
+    }
+    start_transfer order{attempt.m_transfer, attempt.m_exchange, upstream.m_ip,   upstream.m_port,
+                         std::move(head),    connection,         connect_timeout, stall_timeout};
+    order.m_peer = transfer_peer::upstream;
+    order.m_held_body = is_probing(surroundings) ? held_body : 0;
+    emit(surroundings, std::move(order));
     set_due(state, attempt, next_look(node, attempt, surroundings.m_now));
 }
 
@@ -64,13 +86,19 @@
            found->second.m_running == attempt.m_link.m_attempt;
 }
 
-/// A kept connection may break as the request is sent, and HTTP clients repeat it then by
-/// themselves, so what must not run twice gets its own.
-connection_choice connection_for(const gate_state& state, const gate_attempt& attempt)
+/// A kept connection may be closed by the other side as the request is sent. Then nobody knows
+/// whether the request ran, so what must not run twice gets a connection of its own, or where
+/// connections are dear, one that was used moments ago.
+connection_choice connection_for(const context& surroundings, const gate_state& state,
+                                 const gate_attempt& attempt)
 {
-    const bool needs_own =
-        attempt.m_repeat == gate_repeat::forbidden || is_suspect_runner(state, attempt);
-    return needs_own ? connection_choice::fresh : connection_choice::reuse;
+    if (is_suspect_runner(state, attempt)) {
+        return connection_choice::fresh;
+    }
+    if (attempt.m_repeat != gate_repeat::forbidden) {
+        return connection_choice::reuse;
+    }
+    return is_probing(surroundings) ? connection_choice::recent : connection_choice::fresh;
 }
 
 /// Hands an attempt to its upstream. From here on it may have run.
@@ -82,7 +110,15 @@
     attempt.m_phase = gate_phase::running;
     attempt.m_handed_over_at = surroundings.m_now;
     attempt.m_upstream_run = upstream.m_latest.m_run;
-    send_to_upstream(node, surroundings, attempt, connection_for(node.m_gate, attempt));
+    const bool is_idempotent = attempt.m_repeat != gate_repeat::forbidden;
+    if (is_probing(surroundings) &&
+        circuit::ask(upstream.m_circuit, is_idempotent, surroundings.m_now) ==
+            circuit::permission::run_as_trial) {
+        attempt.m_is_trial = true;
+        circuit::begin_trial(upstream.m_circuit);
+    }
+    send_to_upstream(node, surroundings, attempt,
+                     connection_for(surroundings, node.m_gate, attempt));
 }
 
 void offer(node_state& node, context& surroundings, const attempt_id& id)
@@ -91,8 +127,14 @@
     const auto& link = attempt.m_link;
     attempt.m_phase = gate_phase::queued;
     set_due(node.m_gate, attempt, instant::max()); // Admission expires what waits.
-    const queued_attempt queued{id, link.m_endpoint, link.m_document + "/" + link.m_organisation,
-                                attempt.m_deadline};
+    const queued_attempt queued{id,
+                                link.m_endpoint,
+                                link.m_document + "/" + link.m_organisation,
+                                attempt.m_deadline,
+                                link.m_priority,
+                                link.m_waiting};
+    admission::set_cold_rate(node.m_admission, link.m_endpoint,
+                             configuration::cold_rate_of(node.m_configuration, link.m_service));
     switch (admission::offer(node.m_admission, queued, surroundings.m_now)) {
     case admission::verdict::start:
         hand_over(node, surroundings, id);
@@ -100,7 +142,9 @@
     case admission::verdict::queued:
         break;
     case admission::verdict::refused:
-        refuse_attempt(node, surroundings, id, refusal_kind::overloaded);
+        refuse_attempt(node, surroundings, id,
+                       link.m_waiting == link_waiting::forbidden ? refusal_kind::busy
+                                                                 : refusal_kind::overloaded);
         break;
     }
 }
@@ -150,6 +194,10 @@
     const auto found = state.m_attempts.find(id);
     assert(found != state.m_attempts.end());
     const auto attempt = std::move(found->second);
+    if (const auto upstream = state.m_upstreams.find(attempt.m_link.m_endpoint);
+        attempt.m_is_trial && !attempt.m_is_judged && upstream != state.m_upstreams.end()) {
+        circuit::abandon_trial(upstream->second.m_circuit);
+    }
     state.m_due.erase({attempt.m_due, id});
     state.m_by_exchange.erase(attempt.m_exchange);
     state.m_by_transfer.erase(attempt.m_transfer);
@@ -202,12 +250,60 @@
     end_run(node, surroundings, id, attempt_fate::may_run);
 }
 
+/// Gives up an attempt that may run elsewhere: its upstream does not answer.
+void give_up_silent(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    emit(surroundings, cancel_transfer{attempt.m_transfer});
+    answer_refusal(surroundings, attempt.m_exchange, id,
+                   {refusal_kind::upstream_failed, request_outcome::unknown});
+    end_run(node, surroundings, id, attempt_fate::may_run);
+}
+
+/// The silent attempts of an upstream that may run elsewhere.
+std::vector<attempt_id> silent_attempts(const gate_state& state, std::string_view endpoint)
+{
+    std::vector<attempt_id> silent;
+    for (const auto& [id, attempt] : state.m_attempts) {
+        if (attempt.m_is_silent && attempt.m_phase == gate_phase::running &&
+            attempt.m_repeat != gate_repeat::forbidden && attempt.m_link.m_endpoint == endpoint) {
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+/// An attempt has no answer for suspiciously long. Once the circuit is open, all silent attempts
+/// that may run elsewhere are given up.
+void take_silence(node_state& node, context& surroundings, const attempt_id& id)
+{
+    auto& attempt = node.m_gate.m_attempts.at(id);
+    attempt.m_is_silent = true;
+    set_due(node.m_gate, attempt, attempt.m_deadline);
+    const auto upstream = node.m_gate.m_upstreams.find(attempt.m_link.m_endpoint);
+    if (upstream == node.m_gate.m_upstreams.end()) {
+        return;
+    }
+    circuit::note(upstream->second.m_circuit, circuit::run_outcome::silent, surroundings.m_now);
+    attempt.m_is_judged = attempt.m_is_judged || attempt.m_is_trial;
+    if (upstream->second.m_circuit.m_phase == circuit_phase::closed) {
+        return;
+    }
+    const auto endpoint = upstream->first;
+    for (const auto& silent : silent_attempts(node.m_gate, endpoint)) {
+        give_up_silent(node, surroundings, silent);
+    }
+}
+
 void look_at(node_state& node, context& surroundings, const attempt_id& id)
 {
     auto& attempt = node.m_gate.m_attempts.at(id);
     if (attempt.m_deadline <= surroundings.m_now) {
         end_late(node, surroundings, id);
     }
+    else if (is_probing(surroundings)) {
+        take_silence(node, surroundings, id);
+    }
     else if (!repeat_on_fresh_connection(node, surroundings, attempt)) {
         give_evidence(node, surroundings, attempt, run_evidence::silent);
         set_due(node.m_gate, attempt, attempt.m_deadline);
@@ -235,11 +331,21 @@
 
 void admit(node_state& node, context& surroundings, const attempt_id& id)
 {
-    const auto& link = node.m_gate.m_attempts.at(id).m_link;
-    if (find_serving(node.m_gate, link.m_endpoint) == nullptr) {
+    const auto& attempt = node.m_gate.m_attempts.at(id);
+    const auto& link = attempt.m_link;
+    const auto* const upstream = find_serving(node.m_gate, link.m_endpoint);
+    if (upstream == nullptr) {
         refuse_attempt(node, surroundings, id, refusal_kind::no_upstream);
         return;
     }
+    const bool is_idempotent = attempt.m_repeat != gate_repeat::forbidden;
+    const bool is_failing = is_probing(surroundings) &&
+                            circuit::ask(upstream->m_circuit, is_idempotent, surroundings.m_now) ==
+                                circuit::permission::refuse;
+    if (is_failing && link.m_insistence == link_insistence::none) {
+        refuse_attempt(node, surroundings, id, refusal_kind::failing);
+        return;
+    }
     switch (
         quarantine::standing_of(node.m_gate.m_quarantine, link.m_fingerprint, surroundings.m_now)) {
     case quarantine::standing::clear:
@@ -264,11 +370,79 @@
 void refuse_attempt(node_state& node, context& surroundings, const attempt_id& id,
                     refusal_kind kind, std::string_view strike)
 {
-    answer_refusal(surroundings, node.m_gate.m_attempts.at(id).m_exchange, id,
-                   {kind, request_outcome::not_run, 1s}, strike);
+    const auto& attempt = node.m_gate.m_attempts.at(id);
+    answer_refusal(surroundings, attempt.m_exchange, id, {kind, request_outcome::not_run, 1s},
+                   strike, load_fields(node, attempt.m_link.m_endpoint));
     finish(node, surroundings, id, attempt_fate::not_run);
 }
 
+std::vector<http_field> load_fields(const node_state& node, std::string_view endpoint)
+{
+    const auto found = node.m_gate.m_upstreams.find(endpoint);
+    if (found == node.m_gate.m_upstreams.end() ||
+        node.m_settings.m_placement != placement_mode::probing) {
+        return {};
+    }
+    response_head head;
+    add_load(head, admission::load_of(node.m_admission, endpoint), found->second.m_latest.m_slots);
+    return std::move(head.m_fields);
+}
+
+/// Tells the log of a run that went wrong, and what the circuit held of the upstream before it.
+void record_bad_run(context& surroundings, const gate_attempt& attempt,
+                    const upstream_circuit& before, circuit::run_outcome outcome)
+{
+    const auto& link = attempt.m_link;
+    emit(surroundings,
+         record_event{
+             "run-failed",
+             {{"request",
+               std::string{
+                   find_field(attempt.m_head.m_fields, "X-Caller-Request-Id").value_or("-")}},
+              {"attempt", to_string(link.m_attempt)},
+              {"endpoint", link.m_endpoint},
+              {"route", link.m_route},
+              {"outcome", std::string{circuit::to_string(outcome)}},
+              {"ran_ms",
+               std::to_string(to_milliseconds(surroundings.m_now - attempt.m_handed_over_at))},
+              {"circuit", std::string{circuit::to_string(before.m_phase)}},
+              {"doubt", fmt::format("{:.2f}", before.m_doubt)},
+              {"trial", attempt.m_is_trial ? "yes" : "no"},
+              {"insisted", link.m_insistence == link_insistence::none ? "no" : "yes"},
+              {"repeatable", attempt.m_repeat == gate_repeat::forbidden ? "no" : "yes"}},
+             record_target::timeline_and_log});
+}
+
+void note_outcome(node_state& node, context& surroundings, gate_attempt& attempt,
+                  circuit::run_outcome outcome)
+{
+    const auto found = node.m_gate.m_upstreams.find(attempt.m_link.m_endpoint);
+    const bool is_of_this_run = found != node.m_gate.m_upstreams.end() &&
+                                found->second.m_latest.m_run == attempt.m_upstream_run;
+    if (attempt.m_is_judged || !is_of_this_run || !is_probing(surroundings)) {
+        return;
+    }
+    attempt.m_is_judged = true;
+    const auto before = found->second.m_circuit.m_phase;
+    if (outcome != circuit::run_outcome::good) {
+        record_bad_run(surroundings, attempt, found->second.m_circuit, outcome);
+    }
+    circuit::note(found->second.m_circuit, outcome, surroundings.m_now);
+    if (outcome == circuit::run_outcome::good) {
+        note_latency(found->second.m_latencies, attempt.m_link.m_route, attempt.m_latency);
+    }
+    if (const auto after = found->second.m_circuit.m_phase; after != before) {
+        emit(surroundings,
+             record_event{
+                 "circuit-changed",
+                 {{"endpoint", found->first},
+                  {"phase", std::string{circuit::to_string(after)}},
+                  {"attempt", to_string(attempt.m_link.m_attempt)},
+                  {"stay_ms", std::to_string(to_milliseconds(found->second.m_circuit.m_stay))}},
+                 record_target::timeline_and_log});
+    }
+}
+
 void withdraw(node_state& node, const gate_attempt& attempt)
 {
     const auto& id = attempt.m_link.m_attempt;
--- a/libraries/libpolicy/health/health.cpp
+++ b/libraries/libpolicy/health/health.cpp
@@ -27,6 +27,9 @@
         take_in(state, self, report);
     }
     state.m_own_reports = take_reports(state.m_outbox, state.m_now);
+    if (surroundings.m_settings.m_placement == placement_mode::probing) {
+        return; // Each gate judges its own upstream; nobody else needs the evidence.
+    }
     for (const auto& report : state.m_own_reports) {
         for (const auto& [name, peer] : members.m_members) {
             if (name != self.m_name && membership::is_usable(peer)) {
--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -8,6 +8,8 @@
 #include "libpolicy/node_state.h"
 #include "libwire/link_head.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace chivevane::ingress {
@@ -38,9 +40,57 @@
 }
 
 /// Whether another upstream may answer where this one says that it cannot.
-bool is_worth_retry(const response_head& head)
+bool is_worth_retry(const context& surroundings, const response_head& head)
 {
-    return head.m_status == 502 || head.m_status == 503 || head.m_status == 504;
+    const bool is_own_failure =
+        head.m_status == 500 && surroundings.m_settings.m_placement == placement_mode::probing;
+    return is_own_failure || head.m_status == 502 || head.m_status == 503 || head.m_status == 504;
+}
+
+/// Reads the load that a gate told: running/slots/queued. Attempts for each slot.
+std::optional<double> load_of(const response_head& head)
+{
+    const auto text = find_field(head.m_fields, load_field).value_or("");
+    std::array<double, 3> numbers{};
+    const auto* place = text.data();
+    const auto* const end = text.data() + text.size();
+    for (auto& number : numbers) {
+        std::uint32_t value = 0;
+        const auto [stop, problem] = std::from_chars(place, end, value);
+        if (problem != std::errc{}) {
+            return std::nullopt;
+        }
+        number = value;
+        place = stop == end ? stop : stop + 1;
+    }
+    return (numbers[0] + numbers[2]) / std::max(1.0, numbers[1]);
+}
+
+/// Remembers what the refusal of a gate tells of its upstream.
+void note_refusal(ingress_state& state, const ingress_attempt& attempt, refusal_kind kind,
+                  instant now)
+{
+    const auto& upstream = attempt.m_destination.m_upstream;
+    switch (kind) {
+    case refusal_kind::busy:
+    case refusal_kind::overloaded:
+        placement::note_busy(state.m_destinations, upstream, now);
+        break;
+    case refusal_kind::failing:
+    case refusal_kind::no_upstream:
+    case refusal_kind::leaving:
+    case refusal_kind::upstream_failed:
+        placement::note_failing(state.m_destinations, upstream, now);
+        break;
+    default:
+        break;
+    }
+}
+
+/// Whether a refusal of this kind comes from the gate alone.
+bool is_from_gate(refusal_kind kind, bool not_run)
+{
+    return not_run && kind != refusal_kind::upstream_refused;
 }
 
 /// Asks another upstream in place of relaying the answer. False if there is none or no budget.
@@ -49,7 +99,8 @@
     const auto& [request, attempt] = about;
     const auto target = find_destination(node, surroundings, request);
     if (!target || target->m_choice.m_upstream == attempt.m_destination.m_upstream ||
-        !spend_attempt(node, surroundings, request, request_outcome::unknown)) {
+        !spend_attempt(node, surroundings, request,
+                       {refusal_kind::upstream_failed, request_outcome::unknown})) {
         return false;
     }
     cancel_attempt(node, surroundings, attempt);
@@ -86,8 +137,7 @@
     attempt.m_phase = attempt_phase::ended;
     const auto target = find_destination(node, surroundings, request);
     if (!target || !may_resume(request.m_answer) ||
-        !spend_retry(node.m_ingress.m_retry_budget, request.m_route->m_service,
-                     surroundings.m_now)) {
+        !spend_retry(node.m_ingress.m_retry_budget, request.m_service, surroundings.m_now)) {
         conclude(node, surroundings, request, reason);
         return;
     }
@@ -104,9 +154,8 @@
 {
     const auto& [request, attempt] = about;
     health::observe(node.m_health, surroundings,
-                    {attempt.m_destination.m_upstream, request.m_route->m_service,
-                     request.m_route->m_name, observer::ingress, seen,
-                     surroundings.m_now - attempt.m_started_at});
+                    {attempt.m_destination.m_upstream, request.m_service, request.m_route->m_name,
+                     observer::ingress, seen, surroundings.m_now - attempt.m_started_at});
 }
 
 void lose_answer(node_state& node, context& surroundings, const found_attempt& about,
@@ -120,10 +169,15 @@
     begin_void(node, surroundings, request, attempt);
 }
 
-void learn_clock(ingress_state& state, const ingress_attempt& attempt, const response_head& head,
-                 instant now)
+void learn_from_gate(ingress_state& state, const ingress_attempt& attempt,
+                     const response_head& head, instant now)
 {
     const auto digits = find_field(head.m_fields, gate_clock_field).value_or("");
+    const auto& upstream = attempt.m_destination.m_upstream;
+    placement::note_answer(state.m_destinations, upstream);
+    if (const auto load = load_of(head)) {
+        placement::note_load(state.m_destinations, upstream, *load, now);
+    }
     std::int64_t reading = 0;
     std::from_chars(digits.data(), digits.data() + digits.size(), reading);
     if (reading <= 0) {
@@ -150,6 +204,8 @@
         return;
     }
     const auto kind = parse_refusal_kind(reason).value_or(refusal_kind::upstream_failed);
+    attempt.m_reached_upstream = !is_from_gate(kind, not_run);
+    note_refusal(node.m_ingress, attempt, kind, surroundings.m_now);
     end_attempt(node, surroundings, request, attempt,
                 {kind, not_run ? request_outcome::not_run : request_outcome::unknown, retry_after});
 }
@@ -168,7 +224,11 @@
                     {refusal_kind::upstream_failed, request_outcome::unknown});
         return;
     }
-    if (is_worth_retry(head) && retry_elsewhere(node, surroundings, about)) {
+    if (head.m_status < 500) {
+        note_latency(node.m_ingress.m_latencies, request.m_route->m_name,
+                     surroundings.m_now - attempt.m_started_at);
+    }
+    if (is_worth_retry(surroundings, head) && retry_elsewhere(node, surroundings, about)) {
         return;
     }
     request.m_answer = begin_answer(request.m_head, head);
--- a/libraries/libpolicy/ingress/answers.h
+++ b/libraries/libpolicy/ingress/answers.h
@@ -30,9 +30,9 @@
 void lose_answer(node_state& node, context& surroundings, const found_attempt& about,
                  refusal_kind kind);
 
-/// Remembers the reading of the gate's clock in `head`.
-void learn_clock(ingress_state& state, const ingress_attempt& attempt, const response_head& head,
-                 instant now);
+/// Remembers the reading of the gate's clock and its load in `head`.
+void learn_from_gate(ingress_state& state, const ingress_attempt& attempt,
+                     const response_head& head, instant now);
 
 /// The gate answered in place of its upstream.
 void take_gate_refusal(node_state& node, context& surroundings, const found_attempt& about,
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -5,16 +5,33 @@
 #include "libpolicy/health/health.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/node_state.h"
+#include "libpolicy/placement/placement.h"
 #include "libwire/link_head.h"
 
 #include <algorithm>
 #include <cassert>
+#include <fmt/format.h>
 
 namespace chivevane::ingress {
 
 namespace {
 
 constexpr duration connect_timeout = 1s;
+
+/// Where gates are asked in turn, one that does not take the connection is soon passed over.
+constexpr duration probing_connect_timeout = 300ms;
+
+/// Gates that one request asks at most.
+constexpr std::size_t max_gates_asked = 14;
+
+/// Answers up to this size are read whole before they are passed on, so that one that breaks off
+/// can still be replaced by another upstream's. Bytes.
+constexpr std::size_t held_body = 1024 * 1024;
+
+bool is_probing(const context& surroundings)
+{
+    return surroundings.m_settings.m_placement == placement_mode::probing;
+}
 constexpr duration stall_timeout = 10s;
 constexpr duration answer_margin = 5ms; // Lets the gate's refusal, which tells the fate, arrive.
 constexpr std::uint32_t max_extra_attempts = 4;
@@ -32,7 +49,7 @@
 /// An upstream of the host that alone may run a suspected request.
 std::optional<destination> find_owner(const node_state& node, const ingress_request& request)
 {
-    const auto& service = request.m_route->m_service;
+    const auto& service = request.m_service;
     const auto name = quarantine::owner_of(node.m_gate.m_quarantine, node.m_membership, service,
                                            request.m_fingerprint);
     const auto* const owner = membership::find_member(node.m_membership, name);
@@ -63,6 +80,12 @@
     return is_usable ? found->second.m_clock : 0;
 }
 
+link_repeat repeat_of(const ingress_request& request)
+{
+    return request.m_repeatability == routing::repeatability::idempotent ? link_repeat::allowed
+                                                                         : link_repeat::forbidden;
+}
+
 link_head link_for(const context& surroundings, const ingress_request& request,
                    const ingress_attempt& attempt)
 {
@@ -71,7 +94,7 @@
     return {attempt.m_id,
             attempt.m_destination.m_gate_incarnation,
             attempt.m_destination.m_upstream.m_endpoint,
-            request.m_route->m_service,
+            request.m_service,
             request.m_route->m_name,
             request.m_rules->m_name,
             request.m_organisation,
@@ -79,6 +102,10 @@
             request.m_fingerprint,
             std::max(time_left, std::chrono::milliseconds{1}),
             attempt.m_gate_clock,
+            repeat_of(request),
+            attempt.m_waiting,
+            attempt.m_insistence,
+            request.m_priority,
             request.m_strike};
 }
 
@@ -97,8 +124,11 @@
 void set_patience(const node_state& node, const context& surroundings,
                   const ingress_request& request, ingress_attempt& attempt)
 {
-    const auto limit = silence_limit(node.m_health, request.m_route->m_service,
-                                     request.m_route->m_name, request.m_route->m_timeout);
+    const auto& name = request.m_route->m_name;
+    const auto limit =
+        is_probing(surroundings)
+            ? suspicious_silence(node.m_ingress.m_latencies, name, request.m_route->m_timeout)
+            : silence_limit(node.m_health, request.m_service, name, request.m_route->m_timeout);
     if (limit) {
         attempt.m_patience = *limit;
         attempt.m_next_inquiry = surroundings.m_now + *limit;
@@ -123,7 +153,7 @@
         return;
     }
     const auto expected =
-        health::expected_latency(node.m_health, route.m_service, route.m_name, route.m_timeout);
+        health::expected_latency(node.m_health, request.m_service, route.m_name, route.m_timeout);
     if (expected < route.m_timeout) {
         request.m_hedge_at = surroundings.m_now + expected;
     }
@@ -138,6 +168,83 @@
     attempt.m_next_inquiry = instant::max();
 }
 
+/// This host's part of the retries over all hosts.
+retry_allotment allotment_of(const node_state& node, const context& surroundings)
+{
+    const auto& limits = surroundings.m_settings.m_retries;
+    if (!is_probing(surroundings)) {
+        return {};
+    }
+    const auto hosts = static_cast<double>(membership::count_live_peers(node.m_membership) + 1);
+    return {limits.m_share, std::max(1.0, limits.m_reserve / hosts)};
+}
+
+/// Whether an attempt may have put load on its upstream. Gates that refused did not.
+std::size_t count_upstreams_reached(const ingress_request& request)
+{
+    return static_cast<std::size_t>(
+        std::count_if(request.m_attempts.begin(), request.m_attempts.end(),
+                      [](const ingress_attempt& attempt) { return attempt.m_reached_upstream; }));
+}
+
+/// `spend_attempt` where gates are asked in turn: a gate that refuses costs no upstream anything.
+bool spend_probing_attempt(node_state& node, context& surroundings, const ingress_request& request,
+                           const refusal& reason)
+{
+    if (request.m_attempts.size() >= max_gates_asked) {
+        return false;
+    }
+    if (reason.m_outcome == request_outcome::not_run &&
+        !request.m_attempts.back().m_reached_upstream) {
+        return true;
+    }
+    const auto limit = request.m_route->m_attempts + request.m_answer.m_resumptions;
+    const bool may_run_again = reason.m_outcome == request_outcome::not_run ||
+                               request.m_repeatability == routing::repeatability::idempotent;
+    return count_upstreams_reached(request) < limit && may_run_again &&
+           spend_retry(node.m_ingress.m_retry_budget, request.m_service, surroundings.m_now);
+}
+
+/// What placement is to know of each upstream of the service.
+std::vector<placement::option> options_for(const node_state& node, const context& surroundings,
+                                           const ingress_request& request)
+{
+    std::vector<placement::option> options;
+    for (const auto& candidate : routing::find_upstreams(surroundings, node.m_membership,
+                                                         node.m_configuration, request.m_service)) {
+        placement::option each;
+        each.m_choice = candidate.m_choice;
+        each.m_slots = candidate.m_slots;
+        each.m_is_near = candidate.m_is_near;
+        each.m_record =
+            placement::record_of(node.m_ingress.m_destinations, candidate.m_choice.m_upstream);
+        for (const auto& attempt : request.m_attempts) {
+            if (attempt.m_destination.m_upstream == candidate.m_choice.m_upstream) {
+                each.m_was_tried = true;
+                each.m_has_run_it = each.m_has_run_it || attempt.m_reached_upstream;
+            }
+        }
+        options.push_back(std::move(each));
+    }
+    return options;
+}
+
+std::optional<destination> find_by_probing(node_state& node, context& surroundings,
+                                           const ingress_request& request)
+{
+    const auto options = options_for(node, surroundings, request);
+    const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
+    const auto decided = placement::decide(
+        options,
+        {refusals, health::floor_of(node.m_configuration, request.m_service), surroundings.m_now},
+        surroundings.m_random);
+    if (!decided) {
+        return std::nullopt;
+    }
+    return destination{options[decided->m_option].m_choice, connection_choice::reuse,
+                       decided->m_waiting, decided->m_insistence};
+}
+
 /// Sends the next attempt, waits for one under way, or gives up.
 void go_on(node_state& node, context& surroundings, ingress_request& request, const refusal& reason)
 {
@@ -147,7 +254,7 @@
     }
     const auto target = find_destination(node, surroundings, request);
     if (target && reason.m_kind != refusal_kind::quarantined &&
-        spend_attempt(node, surroundings, request, reason.m_outcome)) {
+        spend_attempt(node, surroundings, request, reason)) {
         send_attempt(node, surroundings, request, *target);
         return;
     }
@@ -159,7 +266,8 @@
 void start_first_attempt(node_state& node, context& surroundings, ingress_request& request)
 {
     request.m_phase = ingress_phase::awaiting_answer;
-    earn_retries(node.m_ingress.m_retry_budget, request.m_route->m_service);
+    earn_retries(node.m_ingress.m_retry_budget, request.m_service,
+                 allotment_of(node, surroundings));
     const auto standing = quarantine::standing_of(node.m_gate.m_quarantine, request.m_fingerprint,
                                                   surroundings.m_now);
     if (standing == quarantine::standing::quarantined) {
@@ -188,10 +296,13 @@
     case quarantine::standing::clear:
         break;
     }
+    if (is_probing(surroundings)) {
+        return find_by_probing(node, surroundings, request);
+    }
     const auto tried = tried_upstreams(request);
     const auto chosen = routing::choose_upstream(
         surroundings, node.m_membership, node.m_health, node.m_configuration,
-        {request.m_route->m_service, request.m_repeatability, tried});
+        {request.m_service, request.m_repeatability, tried});
     return chosen ? std::optional{destination{*chosen}} : std::nullopt;
 }
 
@@ -203,30 +314,46 @@
     attempt.m_id = {surroundings.m_settings.m_self, request.m_number, number};
     attempt.m_transfer = next_id(surroundings);
     attempt.m_destination = target.m_choice;
+    attempt.m_waiting = target.m_waiting;
+    attempt.m_insistence = target.m_insistence;
     attempt.m_gate_clock = reading_for(node, surroundings, target.m_choice);
     attempt.m_may_be_copied =
         attempt.m_gate_clock == 0 && request.m_repeatability == routing::repeatability::idempotent;
     attempt.m_started_at = surroundings.m_now;
     set_patience(node, surroundings, request, attempt);
     const auto& gate = target.m_choice.m_gate;
-    emit(surroundings, start_transfer{attempt.m_transfer, request.m_exchange, gate.m_ip,
-                                      gate.m_gate_port, head_for(surroundings, request, attempt),
-                                      target.m_connection, connect_timeout, stall_timeout});
+    start_transfer order{attempt.m_transfer,
+                         request.m_exchange,
+                         gate.m_ip,
+                         gate.m_gate_port,
+                         head_for(surroundings, request, attempt),
+                         target.m_connection,
+                         is_probing(surroundings) ? probing_connect_timeout : connect_timeout,
+                         stall_timeout};
+    order.m_held_body = is_probing(surroundings) ? held_body : 0;
+    emit(surroundings, std::move(order));
     node.m_ingress.m_by_transfer[attempt.m_transfer] = request.m_exchange;
     request.m_attempts.push_back(std::move(attempt));
     reschedule(node.m_ingress, request);
 }
 
 bool spend_attempt(node_state& node, context& surroundings, const ingress_request& request,
-                   request_outcome outcome)
+                   const refusal& reason)
 {
+    const auto outcome = reason.m_outcome;
+    if (request.m_deadline <= surroundings.m_now) {
+        return false;
+    }
+    if (is_probing(surroundings)) {
+        return spend_probing_attempt(node, surroundings, request, reason);
+    }
     const auto limit =
         request.m_route->m_attempts + request.m_extra_attempts + request.m_answer.m_resumptions;
-    if (request.m_attempts.size() >= limit || request.m_deadline <= surroundings.m_now) {
+    if (request.m_attempts.size() >= limit) {
         return false;
     }
     auto& budget = node.m_ingress.m_retry_budget;
-    const auto& service = request.m_route->m_service;
+    const auto& service = request.m_service;
     if (outcome == request_outcome::not_run) {
         return spend_reroute(budget, service);
     }
@@ -251,7 +378,10 @@
         return;
     }
     ++request.m_extra_attempts;
-    send_attempt(node, surroundings, request, {routing::choice{attempt.m_destination}, connection});
+    attempt.m_reached_upstream = false;
+    send_attempt(node, surroundings, request,
+                 {routing::choice{attempt.m_destination}, connection, attempt.m_waiting,
+                  attempt.m_insistence});
 }
 
 void cancel_attempt(node_state& node, context& surroundings, ingress_attempt& attempt)
@@ -261,9 +391,55 @@
     }
 }
 
+/// The id by which callers and logs know the request.
+std::string_view caller_id_of(const ingress_request& request)
+{
+    return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
+}
+
+/// The attempts of a request for the log: upstream and fate of each.
+std::string history_of(const ingress_request& request)
+{
+    std::string text;
+    for (const auto& attempt : request.m_attempts) {
+        const auto* const fate = !attempt.m_reached_upstream                     ? "gate-refused"
+                                 : attempt.m_outcome == request_outcome::not_run ? "not-run"
+                                                                                 : "may-have-run";
+        text += fmt::format("{}{}:{}", text.empty() ? "" : ",",
+                            attempt.m_destination.m_upstream.m_host, fate);
+    }
+    return text.empty() ? "none" : text;
+}
+
+/// Tells the log why a request gets no answer of an upstream.
+void record_refusal(const node_state& node, context& surroundings, const ingress_request& request,
+                    const refusal& reason)
+{
+    emit(surroundings,
+         record_event{
+             "request-refused",
+             {{"request", std::string{caller_id_of(request)}},
+              {"number", std::to_string(request.m_number)},
+              {"route", request.m_route->m_name},
+              {"service", request.m_service},
+              {"organisation", request.m_organisation},
+              {"revision", std::to_string(request.m_revision)},
+              {"reason", std::string{to_string(reason.m_kind)}},
+              {"outcome", reason.m_outcome == request_outcome::not_run ? "not-run" : "unknown"},
+              {"attempts", history_of(request)},
+              {"left_ms", std::to_string(to_milliseconds(request.m_deadline - surroundings.m_now))},
+              {"members", std::to_string(membership::count_live_peers(node.m_membership) + 1)}},
+             record_target::timeline_and_log});
+}
+
 void conclude(node_state& node, context& surroundings, ingress_request& request, refusal reason)
 {
     reason.m_outcome = overall_outcome(request);
+    const bool promises = status_of(reason.m_kind) == 503 || status_of(reason.m_kind) == 429;
+    if (promises && reason.m_outcome == request_outcome::unknown) {
+        reason.m_kind = refusal_kind::upstream_failed; // Callers take these statuses for "not run".
+    }
+    record_refusal(node, surroundings, request, reason);
     if (request.m_phase == ingress_phase::relaying || request.m_phase == ingress_phase::resuming) {
         emit(surroundings, abort_exchange{request.m_exchange});
     }
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -2,6 +2,7 @@
 
 #include "libpolicy/context.h"
 #include "libpolicy/ingress/ingress_state.h"
+#include "libwire/link_head.h"
 
 #include <optional>
 
@@ -18,6 +19,8 @@
 struct destination {
     routing::choice m_choice;
     connection_choice m_connection = connection_choice::reuse;
+    link_waiting m_waiting = link_waiting::allowed;
+    link_insistence m_insistence = link_insistence::none;
 };
 
 /// Starts the first attempt.
@@ -31,10 +34,10 @@
 void send_attempt(node_state& node, context& surroundings, ingress_request& request,
                   const destination& target);
 
-/// Takes the right to one more attempt from the bounds of the route and the budget. `outcome` is
-/// that of the attempt before it.
+/// Takes the right to one more attempt from the bounds of the route and the budget. `reason` is why
+/// the attempt before it ended.
 bool spend_attempt(node_state& node, context& surroundings, const ingress_request& request,
-                   request_outcome outcome);
+                   const refusal& reason);
 
 /// An attempt has ended without an answer: goes on elsewhere if that is safe and affordable, waits
 /// for another attempt under way, or tells the caller why it failed.
--- a/libraries/libpolicy/ingress/caller_request.cpp
+++ b/libraries/libpolicy/ingress/caller_request.cpp
@@ -45,7 +45,7 @@
 
 caller_judgement judge_by(const document_in_force& held, const route* matched)
 {
-    return {held.m_rules, matched, held.m_stored.m_revision, {}, {}};
+    return {held.m_rules, matched, held.m_stored.m_revision, {}, {}, matched->m_priority};
 }
 
 /// Looks for an open route in all documents; says what is missing otherwise.
@@ -87,6 +87,7 @@
         [&owner](const organisation& each) { return each.m_name == owner.m_organisation; });
     judgement.m_organisation = owner.m_organisation;
     judgement.m_limit = {found->m_rate, found->m_burst};
+    judgement.m_priority = found->m_priority.value_or(matched->m_priority);
     return judgement;
 }
 
--- a/libraries/libpolicy/ingress/caller_request.h
+++ b/libraries/libpolicy/ingress/caller_request.h
@@ -20,6 +20,7 @@
     std::uint64_t m_revision = 0;
     std::string m_organisation; ///< Empty on routes open to all.
     rate_limit m_limit;
+    std::uint32_t m_priority = 0; ///< Of the organisation, else of the route.
 };
 
 /// Checks the shape of the request, finds its key's owner and its route.
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+constexpr std::string_view caller_service_field = "X-Caller-Service";
+
 std::uint64_t fingerprint_of(const ingress_request& request)
 {
     return stable_hash(fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation,
@@ -28,21 +30,63 @@
                                    request.m_head.m_target, request.m_body_hash));
 }
 
+/// The service that gets a request of `matched`, in proportion to the weights of its targets.
+std::string choose_service(const route& matched, random_engine& engine)
+{
+    if (matched.m_targets.empty()) {
+        return matched.m_service;
+    }
+    double sum = 0;
+    for (const auto& target : matched.m_targets) {
+        sum += target.m_weight;
+    }
+    auto place = uniform_fraction(engine) * sum;
+    for (const auto& target : matched.m_targets) {
+        place -= target.m_weight;
+        if (place < 0) {
+            return target.m_service;
+        }
+    }
+    return matched.m_targets.back().m_service;
+}
+
+routing::repeatability repeatability_of(const route& matched, std::string_view method)
+{
+    const bool repeats = matched.m_idempotence == route_idempotence::by_method
+                             ? is_idempotent(method)
+                             : matched.m_idempotence == route_idempotence::idempotent;
+    return repeats ? routing::repeatability::idempotent : routing::repeatability::not_idempotent;
+}
+
+/// Tells upstreams which service the request comes from, whatever its caller says.
+void set_caller_service(request_head& head, const std::string& service)
+{
+    if (service.empty()) {
+        return;
+    }
+    std::erase_if(head.m_fields, [](const http_field& field) {
+        return equal_ignoring_case(field.m_name, caller_service_field);
+    });
+    head.m_fields.push_back({std::string{caller_service_field}, service});
+}
+
 ingress_request make_request(const inbound_request& inbound, const caller_judgement& judgement,
-                             instant now)
+                             context& surroundings)
 {
+    const auto now = surroundings.m_now;
     ingress_request request;
     request.m_exchange = inbound.m_exchange;
     request.m_head = forwardable_request(inbound.m_head);
+    set_caller_service(request.m_head, surroundings.m_settings.m_service);
     request.m_body_hash = inbound.m_body_hash;
     request.m_rules = judgement.m_rules;
     request.m_route = judgement.m_route;
     request.m_revision = judgement.m_revision;
     request.m_organisation = judgement.m_organisation;
     request.m_limit = judgement.m_limit;
-    request.m_repeatability = is_idempotent(inbound.m_head.m_method)
-                                  ? routing::repeatability::idempotent
-                                  : routing::repeatability::not_idempotent;
+    request.m_service = choose_service(*judgement.m_route, surroundings.m_random);
+    request.m_priority = judgement.m_priority;
+    request.m_repeatability = repeatability_of(*judgement.m_route, inbound.m_head.m_method);
     request.m_deadline = now + deadline_of(inbound.m_head, *judgement.m_route);
     request.m_fingerprint = fingerprint_of(request);
     return request;
@@ -75,7 +119,8 @@
     if (node.m_ingress.m_is_leaving) {
         return refusal{refusal_kind::leaving};
     }
-    if (!configuration::may_serve(node.m_configuration, surroundings.m_now)) {
+    if (!configuration::may_serve(node.m_configuration, surroundings.m_settings.m_stale_rules,
+                                  surroundings.m_now)) {
         return refusal{refusal_kind::not_ready, request_outcome::not_run, 1s};
     }
     return std::nullopt;
@@ -100,7 +145,8 @@
         return attempt.m_destination.m_upstream == target->m_choice.m_upstream;
     };
     if (target && std::none_of(request.m_attempts.begin(), request.m_attempts.end(), is_tried) &&
-        spend_attempt(node, surroundings, request, request_outcome::unknown)) {
+        spend_attempt(node, surroundings, request,
+                      {refusal_kind::upstream_failed, request_outcome::unknown})) {
         send_attempt(node, surroundings, request, *target);
     }
     reschedule(node.m_ingress, request);
@@ -144,9 +190,9 @@
         emit(surroundings, make_refusal(inbound.m_exchange, {*kind}));
         return;
     }
-    auto& request = keep(node.m_ingress, make_request(inbound, std::get<caller_judgement>(judged),
-                                                      surroundings.m_now));
-    if (request.m_organisation.empty()) {
+    auto& request = keep(node.m_ingress,
+                         make_request(inbound, std::get<caller_judgement>(judged), surroundings));
+    if (request.m_organisation.empty() || request.m_limit.m_rate == unlimited_rate) {
         start_first_attempt(node, surroundings, request);
         return;
     }
@@ -182,7 +228,7 @@
         lose_answer(node, surroundings, about, refusal_kind::upstream_failed);
         return;
     }
-    learn_clock(node.m_ingress, attempt, answer.m_head, surroundings.m_now);
+    learn_from_gate(node.m_ingress, attempt, answer.m_head, surroundings.m_now);
     if (const auto reason = find_field(fields, reason_field)) {
         take_gate_refusal(node, surroundings, about, answer.m_head, *reason);
         return;
@@ -199,6 +245,9 @@
     }
     if (end.m_end == transfer_end::connect_failed) {
         observe(node, surroundings, about, observed_result::unreachable);
+        placement::note_unreachable(node.m_ingress.m_destinations,
+                                    about.m_attempt.m_destination.m_upstream, surroundings.m_now);
+        about.m_attempt.m_reached_upstream = false;
         about.m_attempt.m_may_be_copied = false;
         end_attempt(node, surroundings, about.m_request, about.m_attempt,
                     {refusal_kind::upstream_failed, request_outcome::not_run, 1s});
--- a/libraries/libpolicy/ingress/ingress_state.h
+++ b/libraries/libpolicy/ingress/ingress_state.h
@@ -6,10 +6,13 @@
 #include "libpolicy/identifiers.h"
 #include "libpolicy/ingress/resume.h"
 #include "libpolicy/ingress/retry_budget.h"
+#include "libpolicy/latency_tracker.h"
 #include "libpolicy/limits/rate_limit.h"
+#include "libpolicy/placement/destination_view.h"
 #include "libpolicy/refusal.h"
 #include "libpolicy/routing/routing.h"
 #include "libwire/attempt_id.h"
+#include "libwire/link_head.h"
 #include "libwire/request_head.h"
 #include "libwire/upstream_id.h"
 
@@ -41,12 +44,15 @@
     std::int64_t m_gate_clock = 0; ///< As sent with the attempt; 0 if none was known.
     bool m_may_be_copied = false;  ///< Sent without a clock, so that a late copy may still run.
     instant m_started_at;
+    link_waiting m_waiting = link_waiting::allowed;
+    link_insistence m_insistence = link_insistence::none;
     attempt_phase m_phase = attempt_phase::sent;
     request_outcome m_outcome = request_outcome::unknown; ///< Once ended.
     instant m_next_inquiry = instant::max();              ///< When its gate is next asked for it.
     duration m_patience{};            ///< Wait for an answer before the first inquiry.
     std::uint32_t m_inquiries = 0;    ///< Sent since the gate last gave a sign of life.
     bool m_was_answered_once = false; ///< The gate says so, but no answer has come.
+    bool m_reached_upstream = true;   ///< False once its gate has told that it did not.
 };
 
 /// How far a request has come at the ingress.
@@ -66,6 +72,8 @@
     std::uint64_t m_fingerprint = 0;
     std::shared_ptr<const document> m_rules; ///< Keeps `m_route` alive.
     const route* m_route = nullptr;
+    std::string m_service; ///< The one of the route's that gets this request.
+    std::uint32_t m_priority = 0;
     std::uint64_t m_revision = 0;
     std::string m_organisation; ///< Empty on routes open to all.
     rate_limit m_limit;
@@ -103,6 +111,8 @@
     std::set<request_due> m_due;                                ///< In order of time.
     std::map<std::string, gate_reading, std::less<>> m_gate_readings; ///< By host name.
     retry_budget m_retry_budget;
+    destination_view m_destinations;
+    latency_tracker m_latencies;
     std::uint64_t m_last_request = 0; ///< Counts requests for attempt ids.
     bool m_is_leaving = false;
 };
--- a/libraries/libpolicy/ingress/inquiries.cpp
+++ b/libraries/libpolicy/ingress/inquiries.cpp
@@ -51,8 +51,8 @@
         return;
     }
     health::observe(node.m_health, surroundings,
-                    {attempt.m_destination.m_upstream, request.m_route->m_service,
-                     request.m_route->m_name, observer::ingress, observed_result::unreachable,
+                    {attempt.m_destination.m_upstream, request.m_service, request.m_route->m_name,
+                     observer::ingress, observed_result::unreachable,
                      surroundings.m_now - attempt.m_started_at});
     cancel_attempt(node, surroundings, attempt);
     end_attempt(node, surroundings, request, attempt, lost);
@@ -99,6 +99,7 @@
         if (fate == attempt_fate::in_progress) {
             return; // Answers an earlier inquiry; the one that voids is still under way.
         }
+        attempt.m_reached_upstream = fate != attempt_fate::not_run;
         end_attempt(node, surroundings, request, attempt,
                     fate == attempt_fate::not_run ? proven_not_run : lost);
         return;
--- a/libraries/libpolicy/ingress/retry_budget.cpp
+++ b/libraries/libpolicy/ingress/retry_budget.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr double retries_per_request = 0.08;   // The gate's own repeats have the other 2% of 10%.
-constexpr double max_retries = 10;             // A burst of failures after a calm time.
 constexpr duration spare_retry_interval = 10s; // Low traffic earns too slowly to retry at all.
 constexpr double reroutes_per_request = 1;     // They load gates, not upstreams.
 constexpr double max_reroutes = 100;
@@ -24,10 +22,10 @@
 
 } // namespace
 
-void earn_retries(retry_budget& budget, std::string_view service)
+void earn_retries(retry_budget& budget, std::string_view service, const retry_allotment& allotment)
 {
     auto& allowance = allowance_of(budget, service);
-    allowance.m_retries = std::min(max_retries, allowance.m_retries + retries_per_request);
+    allowance.m_retries = std::min(allotment.m_reserve, allowance.m_retries + allotment.m_share);
     allowance.m_reroutes = std::min(max_reroutes, allowance.m_reroutes + reroutes_per_request);
 }
 
--- a/libraries/libpolicy/ingress/retry_budget.h
+++ b/libraries/libpolicy/ingress/retry_budget.h
@@ -25,8 +25,14 @@
 
 namespace chivevane::ingress {
 
+/// What one host may use of the retries of a service.
+struct retry_allotment {
+    double m_share = 0.08; ///< Earned by each request.
+    double m_reserve = 10; ///< Kept at most.
+};
+
 /// Counts a first attempt: it earns a share of a retry.
-void earn_retries(retry_budget& budget, std::string_view service);
+void earn_retries(retry_budget& budget, std::string_view service, const retry_allotment& allotment);
 
 /// Takes a retry or hedge, if the budget has one.
 bool spend_retry(retry_budget& budget, std::string_view service, instant now);
--- a/libraries/libpolicy/limits/limits.cpp
+++ b/libraries/libpolicy/limits/limits.cpp
@@ -2,6 +2,7 @@
 
 #include "libpolicy/limits/borrowing.h"
 #include "libpolicy/limits/loan_book.h"
+#include "libpolicy/limits/metering.h"
 #include "libpolicy/limits/roster.h"
 #include "libpolicy/limits/share_leases.h"
 
@@ -15,6 +16,11 @@
 constexpr duration sweep_interval = 10s; // Idle organisations must not fill the memory.
 constexpr std::uint32_t failures_until_away = 2;
 
+bool is_metered(const context& surroundings)
+{
+    return surroundings.m_settings.m_rate_mode == rate_mode::metered;
+}
+
 void sweep(limits_state& state, context& surroundings)
 {
     if (surroundings.m_now < state.m_next_sweep) {
@@ -39,6 +45,11 @@
 
 void start(limits_state& state, context& surroundings)
 {
+    if (is_metered(surroundings)) {
+        state.m_leases.m_next_round = instant::max();
+        state.m_roster.m_next_call = instant::max();
+        return;
+    }
     state.m_leases.m_next_round = surroundings.m_now;
     state.m_next_sweep = surroundings.m_now + sweep_interval;
     start_roster(state, surroundings);
@@ -47,6 +58,9 @@
 verdict take_token(limits_state& state, context& surroundings, const membership_state& members,
                    std::string_view organisation, const rate_limit& limit, std::uint64_t ticket)
 {
+    if (is_metered(surroundings)) {
+        return take_metered(state.m_metering, surroundings, members, organisation, limit, ticket);
+    }
     expire_loans(state, surroundings);
     run_lease_round(state, surroundings, members);
     return take_or_borrow(state, surroundings, members, organisation, limit, ticket);
@@ -55,11 +69,16 @@
 void withdraw_ticket(limits_state& state, std::uint64_t ticket)
 {
     forget_ticket(state, ticket);
+    withdraw_metered(state.m_metering, ticket);
 }
 
 std::vector<settled_ticket> take_settled(limits_state& state)
 {
-    return std::exchange(state.m_borrowing.m_settled, {});
+    auto settled = std::exchange(state.m_borrowing.m_settled, {});
+    auto& metered = state.m_metering.m_settled;
+    settled.insert(settled.end(), metered.begin(), metered.end());
+    metered.clear();
+    return settled;
 }
 
 void on_loan_request(limits_state& state, context& surroundings, const membership_state& members,
@@ -103,6 +122,10 @@
 
 void on_timer(limits_state& state, context& surroundings, const membership_state& members)
 {
+    if (is_metered(surroundings)) {
+        check_metered(state.m_metering, surroundings, members);
+        return;
+    }
     expire_loans(state, surroundings);
     run_lease_round(state, surroundings, members);
     check_loans(state, surroundings, members);
@@ -113,6 +136,10 @@
 
 void leave(limits_state& state, context& surroundings)
 {
+    if (is_metered(surroundings)) {
+        state.m_roster.m_phase = roster_phase::left;
+        return;
+    }
     leave_roster(state, surroundings);
 }
 
@@ -133,8 +160,8 @@
     const auto& expiries = state.m_loan_book.m_expiries;
     const auto loan_end = expiries.empty() ? instant::max() : expiries.front().m_at;
     const auto roster_call = state.m_roster.m_call ? instant::max() : state.m_roster.m_next_call;
-    return std::min({state.m_leases.m_next_round, borrowing.m_next_check, borrowing.m_next_report,
-                     loan_end, roster_call});
+    return std::min({next_metered_check(state.m_metering), state.m_leases.m_next_round,
+                     borrowing.m_next_check, borrowing.m_next_report, loan_end, roster_call});
 }
 
 } // namespace chivevane::limits
--- a/libraries/libpolicy/limits/limits_state.h
+++ b/libraries/libpolicy/limits/limits_state.h
@@ -4,6 +4,7 @@
 #include "libpolicy/limits/authority_state.h"
 #include "libpolicy/limits/borrowing_state.h"
 #include "libpolicy/limits/loan_book_state.h"
+#include "libpolicy/limits/metering_state.h"
 #include "libpolicy/limits/roster_state.h"
 #include "libpolicy/limits/share_lease_state.h"
 #include "libpolicy/limits/slot_pool.h"
@@ -21,6 +22,7 @@
     loan_book_state m_loan_book;
     borrowing_state m_borrowing;
     instant m_next_sweep;
+    metering_state m_metering;
 };
 
 } // namespace chivevane
--- a/libraries/libpolicy/membership/gossip_round.cpp
+++ b/libraries/libpolicy/membership/gossip_round.cpp
@@ -143,7 +143,8 @@
 void probe_in_turn(membership_state& state, context& surroundings)
 {
     std::size_t sent = 0;
-    for (std::size_t seen = 0; seen < state.m_members.size() && sent < probes_per_round; ++seen) {
+    const auto wanted = surroundings.m_settings.m_timing.m_probes;
+    for (std::size_t seen = 0; seen < state.m_members.size() && sent < wanted; ++seen) {
         auto place = state.m_members.upper_bound(state.m_probe_cursor);
         if (place == state.m_members.end()) {
             place = state.m_members.begin();
@@ -164,8 +165,10 @@
 {
     const auto round = state.m_members.at(state.m_self.m_identity.m_name).m_counter;
     if (const auto ring = ring_of(state); !ring.empty()) {
-        for (const auto* const receiver :
-             receivers_of(ring, state.m_self.m_datacentre, round, surroundings)) {
+        auto receivers = receivers_of(ring, state.m_self.m_datacentre, round, surroundings);
+        const auto wanted = surroundings.m_settings.m_timing.m_receivers;
+        receivers.resize(std::min<std::size_t>(receivers.size(), wanted));
+        for (const auto* const receiver : receivers) {
             emit(surroundings,
                  send_datagram{receiver->m_latest.m_address, next_view(state, surroundings.m_now)});
         }
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -150,9 +150,10 @@
     std::erase_if(state.m_requested, [&](const auto& request) {
         return surroundings.m_now - request.second > round_interval;
     });
+    const auto interval = surroundings.m_settings.m_timing.m_round;
     const double deviation = round_jitter * (uniform_fraction(surroundings.m_random) - 0.5);
     state.m_next_heartbeat =
-        surroundings.m_now + round_interval + from_seconds(to_seconds(round_interval) * deviation);
+        surroundings.m_now + interval + from_seconds(to_seconds(interval) * deviation);
 }
 
 void renew_account(membership_state& state)
--- a/libraries/libpolicy/node_state.h
+++ b/libraries/libpolicy/node_state.h
@@ -28,6 +28,7 @@
     membership_state m_membership;
     configuration_state m_configuration;
     std::optional<instant> m_leave_deadline; ///< Set once the host is told to leave.
+    std::optional<instant> m_notice_until;   ///< Until then it still takes work.
 };
 
 } // namespace chivevane
--- /dev/null
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -0,0 +1,122 @@
+#include "libpolicy/placement/placement.h"
+
+#include <algorithm>
+
+namespace chivevane::placement {
+
+namespace {
+
+/// Gates without room that a request asks before it waits at one.
+constexpr std::size_t refusals_before_waiting = 5;
+
+bool is_unreachable(const option& each, instant now)
+{
+    return now < each.m_record.m_unreachable_until;
+}
+
+bool is_failing(const option& each, instant now)
+{
+    return now < each.m_record.m_failing_until;
+}
+
+bool is_busy(const option& each, instant now)
+{
+    return now < each.m_record.m_busy_until;
+}
+
+double slots_of(std::span<const option> options, const std::vector<std::size_t>& chosen)
+{
+    double sum = 0;
+    for (const auto index : chosen) {
+        sum += options[index].m_slots;
+    }
+    return sum;
+}
+
+/// Picks one with a probability in proportion to its slots.
+std::size_t pick(std::span<const option> options, const std::vector<std::size_t>& group,
+                 random_engine& engine)
+{
+    auto place = uniform_fraction(engine) * slots_of(options, group);
+    for (const auto index : group) {
+        place -= options[index].m_slots;
+        if (place < 0) {
+            return index;
+        }
+    }
+    return group.back();
+}
+
+template <typename Condition>
+std::vector<std::size_t> filter(std::span<const option> options,
+                                const std::vector<std::size_t>& group, Condition condition)
+{
+    std::vector<std::size_t> kept;
+    std::copy_if(group.begin(), group.end(), std::back_inserter(kept),
+                 [&](std::size_t index) { return condition(options[index]); });
+    return kept;
+}
+
+/// Those that can be reached and have not run the request; all that can be reached otherwise.
+std::vector<std::size_t> reachable(std::span<const option> options, instant now)
+{
+    std::vector<std::size_t> all;
+    for (std::size_t index = 0; index < options.size(); ++index) {
+        all.push_back(index);
+    }
+    const auto fresh = filter(options, all, [](const option& each) { return !each.m_has_run_it; });
+    const auto& eligible = fresh.empty() ? all : fresh;
+    auto found =
+        filter(options, eligible, [now](const option& each) { return !is_unreachable(each, now); });
+    return found.empty() ? eligible : found;
+}
+
+/// The one with the least load among those where the attempt may wait.
+std::size_t least_loaded(std::span<const option> options, const std::vector<std::size_t>& group)
+{
+    return *std::min_element(
+        group.begin(), group.end(), [&options](std::size_t left, std::size_t right) {
+            const auto rank = [&options](std::size_t index) {
+                return std::pair{options[index].m_record.m_load, !options[index].m_is_near};
+            };
+            return rank(left) < rank(right);
+        });
+}
+
+} // namespace
+
+std::optional<decision> decide(std::span<const option> options, const situation& about,
+                               random_engine& engine)
+{
+    const auto now = about.m_now;
+    const auto open = reachable(options, now);
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    auto sound =
+        filter(options, open, [now](const option& each) { return !is_failing(each, now); });
+    auto insistence = link_insistence::none;
+    if (slots_of(options, sound) < about.m_floor * slots_of(options, open)) {
+        sound = open;
+        insistence = link_insistence::runs_on_failing;
+    }
+    const auto untried =
+        filter(options, sound, [](const option& each) { return !each.m_was_tried; });
+    if (about.m_refusals < refusals_before_waiting) {
+        const auto idle =
+            filter(options, untried, [now](const option& each) { return !is_busy(each, now); });
+        for (const bool is_near : {true, false}) {
+            const auto group = filter(
+                options, idle, [is_near](const option& each) { return each.m_is_near == is_near; });
+            if (!group.empty()) {
+                return decision{pick(options, group, engine), link_waiting::forbidden, insistence};
+            }
+        }
+    }
+    if (sound.empty()) {
+        return std::nullopt;
+    }
+    return decision{least_loaded(options, sound), link_waiting::allowed, insistence};
+}
+
+} // namespace chivevane::placement
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -7,6 +7,7 @@
 #include "libpolicy/health/health.h"
 #include "libpolicy/ingress/ingress.h"
 #include "libpolicy/limits/limits.h"
+#include "libpolicy/limits/metering.h"
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
@@ -20,6 +21,24 @@
     return {now, wall_ms, node.m_settings, node.m_random, node.m_last_id, effects};
 }
 
+/// Takes no new work from now on.
+void begin_leaving(node_state& node, context& surroundings)
+{
+    node.m_ingress.m_is_leaving = true;
+    node.m_gate.m_is_leaving = true;
+    membership::leave(node.m_membership, surroundings);
+    limits::leave(node.m_limits, surroundings);
+}
+
+/// Stops to take new work once the notice is over.
+void end_notice(node_state& node, context& surroundings)
+{
+    const bool is_over = node.m_notice_until && surroundings.m_now >= *node.m_notice_until;
+    if (is_over && !node.m_gate.m_is_leaving) {
+        begin_leaving(node, surroundings);
+    }
+}
+
 void handle(node_state& node, context& surroundings, const timer_fired&)
 {
     membership::on_timer(node.m_membership, surroundings);
@@ -28,6 +47,7 @@
     health::on_timer(node.m_health, surroundings, node.m_membership, node.m_configuration);
     gate::on_timer(node, surroundings);
     ingress::on_timer(node, surroundings);
+    end_notice(node, surroundings);
 }
 
 void handle(node_state& node, context& surroundings, const leave_requested&)
@@ -37,10 +57,10 @@
         return;
     }
     node.m_leave_deadline = surroundings.m_now + node.m_settings.m_shutdown_limit;
-    node.m_ingress.m_is_leaving = true;
-    node.m_gate.m_is_leaving = true;
-    membership::leave(node.m_membership, surroundings);
-    limits::leave(node.m_limits, surroundings);
+    node.m_notice_until = surroundings.m_now + node.m_settings.m_shutdown_notice;
+    if (node.m_settings.m_shutdown_notice == duration{}) {
+        begin_leaving(node, surroundings);
+    }
 }
 
 void handle(node_state& node, context& surroundings, const inbound_request& request)
@@ -142,6 +162,13 @@
                    [&](const document_question& question) {
                        configuration::on_question(node.m_configuration, surroundings, question);
                    },
+                   [&](const token_request& request) {
+                       limits::on_token_request(node.m_limits.m_metering, surroundings, sender,
+                                                request);
+                   },
+                   [&](const token_response& response) {
+                       limits::on_token_response(node.m_limits.m_metering, surroundings, response);
+                   },
                },
                received.m_message);
 }
@@ -200,12 +227,18 @@
     ingress::on_tokens_settled(node, surroundings);
     membership::set_documents_digest(node.m_membership,
                                      configuration::digest_of(node.m_configuration));
-    if (node.m_leave_deadline &&
-        (!has_work_in_progress(node) || surroundings.m_now >= *node.m_leave_deadline)) {
+    const bool is_done = node.m_gate.m_is_leaving && !has_work_in_progress(node);
+    if (node.m_leave_deadline && (is_done || surroundings.m_now >= *node.m_leave_deadline)) {
         emit(surroundings, stop_process{});
     }
 }
 
+/// When this host stops to take new work; never while it was not told to leave.
+instant notice_end(const node_state& node)
+{
+    return node.m_notice_until && !node.m_gate.m_is_leaving ? *node.m_notice_until : instant::max();
+}
+
 } // namespace
 
 started_node start_node(host_settings settings, instant now, std::int64_t wall_ms)
@@ -238,7 +271,7 @@
                      limits::next_wakeup(node.m_limits), health::next_wakeup(node.m_health),
                      admission::next_wakeup(node.m_admission), gate::next_wakeup(node.m_gate),
                      ingress::next_wakeup(node.m_ingress),
-                     node.m_leave_deadline.value_or(instant::max())});
+                     node.m_leave_deadline.value_or(instant::max()), notice_end(node)});
 }
 
 } // namespace chivevane
--- a/libraries/libpolicy/refusal.h
+++ b/libraries/libpolicy/refusal.h
@@ -22,6 +22,9 @@
     rate_exceeded,     ///< 429
     no_upstream,       ///< 503
     overloaded,        ///< 503
+    busy,              ///< 503, the gate has no room at once; another may have
+    failing,           ///< 503, the upstream has failed of late
+    upstream_refused,  ///< 503, the upstream says that it did not run the request
     leaving,           ///< 503
     not_ready,         ///< 503, the host has no configuration it may rely on
     quarantined,       ///< 503
--- a/libraries/libpolicy/routing/routing.cpp
+++ b/libraries/libpolicy/routing/routing.cpp
@@ -130,6 +130,19 @@
 
 } // namespace
 
+std::vector<serving_upstream> find_upstreams(const context& surroundings,
+                                             const membership_state& members,
+                                             const configuration_state& configuration,
+                                             std::string_view service)
+{
+    std::vector<serving_upstream> found;
+    for (auto& each : find_candidates(surroundings, members, {configuration, service})) {
+        const auto slots = static_cast<double>(std::max(1U, each.m_summary->m_slots));
+        found.push_back({std::move(each.m_choice), slots, each.m_is_near});
+    }
+    return found;
+}
+
 std::optional<choice> choose_upstream(context& surroundings, const membership_state& members,
                                       const health_state& health,
                                       const configuration_state& configuration,
--- a/libraries/libpolicy/routing/routing.h
+++ b/libraries/libpolicy/routing/routing.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace chivevane::routing {
 
@@ -31,6 +32,19 @@
     std::uint64_t m_gate_incarnation = 0;
 };
 
+/// A live, serving upstream of a service.
+struct serving_upstream {
+    choice m_choice;
+    double m_slots = 1;
+    bool m_is_near = false; ///< In the data centre of this host.
+};
+
+/// All live, serving upstreams of `service` outside the data centres that are out.
+std::vector<serving_upstream> find_upstreams(const context& surroundings,
+                                             const membership_state& members,
+                                             const configuration_state& configuration,
+                                             std::string_view service);
+
 /// Chooses an upstream for one attempt; empty when none may take it.
 std::optional<choice> choose_upstream(context& surroundings, const membership_state& members,
                                       const health_state& health,
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <charconv>
 #include <fmt/format.h>
+#include <vector>
 
 namespace chivevane {
 
@@ -16,6 +17,11 @@
 constexpr value_bounds<std::int64_t> head_bounds{1'024, 1'048'576};
 constexpr value_bounds<std::int64_t> body_bounds{0, 67'108'864};
 constexpr value_bounds<std::int64_t> shutdown_bounds_ms{0, 3'600'000};
+constexpr value_bounds<std::int64_t> round_bounds_ms{100, 10'000};
+constexpr value_bounds<std::int64_t> receiver_bounds{1, 3};
+constexpr value_bounds<std::int64_t> probe_bounds{1, 64};
+constexpr value_bounds<double> share_bounds{0, 1};
+constexpr value_bounds<double> reserve_bounds{0, 1'000'000}; // attempts
 constexpr value_bounds<std::int64_t> timeline_bounds{16, 1'000'000};
 constexpr std::size_t min_secret_size = 16; // bytes; shorter ones can be guessed.
 
@@ -75,12 +81,32 @@
     return secret;
 }
 
-void read_ports(const yaml_place& place, node_settings& settings, fault_list& faults)
+/// Reads a port, alone or with the IP number before it.
+std::uint16_t read_port(yaml_map_reader& reader, std::string_view field)
 {
-    yaml_map_reader reader{place, {"caller", "gate", "control", "admin", "announce"}, faults};
-    const auto read = [&](std::string_view field) {
+    const auto text = reader.text_or(field, "");
+    if (text.find(':') == std::string::npos) {
         return static_cast<std::uint16_t>(reader.integer(field, port_bounds));
-    };
+    }
+    const auto endpoint = parse_endpoint(text);
+    if (is_error(endpoint)) {
+        reader.fault(error_of(endpoint).m_kind, field, error_of(endpoint).m_message,
+                     error_of(endpoint).m_remedy);
+        return 0;
+    }
+    return value_of(endpoint).m_port;
+}
+
+std::uint16_t read_optional_port(yaml_map_reader& reader, std::string_view field)
+{
+    return reader.has(field) ? read_port(reader, field) : 0;
+}
+
+void read_ports(const yaml_place& place, node_settings& settings, fault_list& faults)
+{
+    yaml_map_reader reader{
+        place, {"caller", "gate", "control", "admin", "announce", "ready", "metrics"}, faults};
+    const auto read = [&](std::string_view field) { return read_port(reader, field); };
     const auto faults_before = faults.size();
     auto& address = settings.m_policy.m_address;
     address.m_caller_port = read("caller");
@@ -88,8 +114,12 @@
     address.m_control_port = read("control");
     address.m_admin_port = read("admin");
     settings.m_announce_port = read("announce");
-    std::array ports{address.m_caller_port, address.m_gate_port, address.m_control_port,
-                     address.m_admin_port, settings.m_announce_port};
+    settings.m_ready_port = read_optional_port(reader, "ready");
+    settings.m_metrics_port = read_optional_port(reader, "metrics");
+    std::vector ports{address.m_caller_port,  address.m_gate_port,      address.m_control_port,
+                      address.m_admin_port,   settings.m_announce_port, settings.m_ready_port,
+                      settings.m_metrics_port};
+    std::erase(ports, 0);
     std::sort(ports.begin(), ports.end());
     if (faults.size() == faults_before &&
         std::adjacent_find(ports.begin(), ports.end()) != ports.end()) {
@@ -157,14 +187,106 @@
         reader.has("listen_ip") ? read_ip(reader, "listen_ip") : settings.m_policy.m_address.m_ip;
 }
 
+/// Reads the secret that hosts share: from the settings, a file or the store.
+void read_shared_secret(yaml_map_reader& reader, const file_reader& read_file,
+                        node_settings& settings, fault_list& faults)
+{
+    if (!reader.has("shared_secret_key")) {
+        settings.m_policy.m_shared_secret = read_secret(reader, "shared_secret", read_file, faults);
+        return;
+    }
+    settings.m_secret_key = reader.text("shared_secret_key");
+    if (reader.has("shared_secret") || reader.has("shared_secret_file")) {
+        reader.fault(error_kind::duplicate, "shared_secret_key",
+                     "the settings give the secret as well.",
+                     "Give shared_secret_key, shared_secret or shared_secret_file.");
+    }
+}
+
+/// One of two words; `fallback` if the field is absent.
+bool read_choice(yaml_map_reader& reader, std::string_view field, std::string_view first,
+                 std::string_view second)
+{
+    const auto word = reader.text_or(field, first);
+    if (word != first && word != second) {
+        reader.fault(error_kind::out_of_range, field, "there is no such choice.",
+                     fmt::format("Use {} or {}.", first, second));
+    }
+    return word == second;
+}
+
+void read_timing(const yaml_place& place, host_settings& policy, fault_list& faults)
+{
+    yaml_map_reader reader{
+        place, {"round_ms", "receivers", "probes", "crash_report_sends"}, faults};
+    auto& timing = policy.m_timing;
+    timing.m_round = std::chrono::milliseconds{
+        reader.integer_or("round_ms", round_bounds_ms, to_milliseconds(timing.m_round))};
+    timing.m_receivers = static_cast<std::uint32_t>(
+        reader.integer_or("receivers", receiver_bounds, timing.m_receivers));
+    timing.m_probes =
+        static_cast<std::uint32_t>(reader.integer_or("probes", probe_bounds, timing.m_probes));
+    timing.m_crash_report_sends = static_cast<std::uint32_t>(
+        reader.integer_or("crash_report_sends", probe_bounds, timing.m_crash_report_sends));
+}
+
+void read_retries(const yaml_place& place, host_settings& policy, fault_list& faults)
+{
+    yaml_map_reader reader{place, {"share", "reserve"}, faults};
+    policy.m_retries.m_share = reader.number_or("share", share_bounds, policy.m_retries.m_share);
+    policy.m_retries.m_reserve =
+        reader.number_or("reserve", reserve_bounds, policy.m_retries.m_reserve);
+}
+
+/// Reads how this fleet works together.
+void read_fleet(yaml_map_reader& reader, host_settings& policy, fault_list& faults)
+{
+    policy.m_service = reader.text_or("service", "");
+    if (read_choice(reader, "placement", "weighted", "probing")) {
+        policy.m_placement = placement_mode::probing;
+    }
+    if (read_choice(reader, "stale_rules", "refuse", "serve")) {
+        policy.m_stale_rules = stale_rules::serve;
+    }
+    if (read_choice(reader, "rates", "exact", "metered")) {
+        policy.m_rate_mode = rate_mode::metered;
+    }
+    if (reader.has("timing")) {
+        read_timing(reader.place_of("timing"), policy, faults);
+    }
+    if (reader.has("retries")) {
+        read_retries(reader.place_of("retries"), policy, faults);
+    }
+}
+
 node_settings read_settings(const yaml_node& root, const file_reader& read_file, fault_list& faults)
 {
     node_settings settings;
     yaml_map_reader reader{{&root, ""},
-                           {"host", "datacentre", "ip", "listen_ip", "ports", "shared_secret",
-                            "shared_secret_file", "operator_token", "operator_token_file", "store",
-                            "seeds", "limits", "shutdown_limit_ms", "timeline_entries",
-                            "log_level"},
+                           {"host",
+                            "datacentre",
+                            "ip",
+                            "listen_ip",
+                            "ports",
+                            "shared_secret",
+                            "shared_secret_file",
+                            "shared_secret_key",
+                            "operator_token",
+                            "operator_token_file",
+                            "administration",
+                            "store",
+                            "seeds",
+                            "limits",
+                            "shutdown_limit_ms",
+                            "shutdown_notice_ms",
+                            "timeline_entries",
+                            "log_level",
+                            "service",
+                            "placement",
+                            "stale_rules",
+                            "rates",
+                            "timing",
+                            "retries"},
                            faults};
     read_identity(reader, settings);
     if (reader.has("ports")) {
@@ -174,8 +296,11 @@
         reader.fault(error_kind::missing_field, "ports", "the field is missing.",
                      "Add ports with caller, gate, control, admin and announce.");
     }
-    settings.m_policy.m_shared_secret = read_secret(reader, "shared_secret", read_file, faults);
-    settings.m_operator_token = read_secret(reader, "operator_token", read_file, faults);
+    read_shared_secret(reader, read_file, settings, faults);
+    if (!read_choice(reader, "administration", "open", "closed")) {
+        settings.m_operator_token = read_secret(reader, "operator_token", read_file, faults);
+    }
+    read_fleet(reader, settings.m_policy, faults);
     settings.m_stores = read_endpoints(reader, "store", faults);
     if (!reader.has("store")) {
         reader.fault(error_kind::missing_field, "store", "the field is missing.",
@@ -190,6 +315,8 @@
     const auto default_limit = to_milliseconds(settings.m_policy.m_shutdown_limit);
     settings.m_policy.m_shutdown_limit = std::chrono::milliseconds{
         reader.integer_or("shutdown_limit_ms", shutdown_bounds_ms, default_limit)};
+    settings.m_policy.m_shutdown_notice =
+        std::chrono::milliseconds{reader.integer_or("shutdown_notice_ms", shutdown_bounds_ms, 0)};
     settings.m_timeline_entries = static_cast<std::size_t>(
         reader.integer_or("timeline_entries", timeline_bounds,
                           static_cast<std::int64_t>(settings.m_timeline_entries)));
--- a/libraries/libwire/link_head.cpp
+++ b/libraries/libwire/link_head.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view signature_field = "Chivevane-Signature";
+constexpr std::string_view mode_field = "Chivevane-Mode";
 
 std::string text_to_sign(const request_head& head, std::uint64_t body_hash)
 {
@@ -64,6 +65,30 @@
     std::string_view m_failed_field;
 };
 
+/// Repeat, waiting and insistence as one digit each, then the priority.
+std::string format_mode(const link_head& link)
+{
+    return fmt::format("{}{}{}{}", static_cast<int>(link.m_repeat),
+                       static_cast<int>(link.m_waiting), static_cast<int>(link.m_insistence),
+                       link.m_priority);
+}
+
+bool parse_mode(std::string_view text, link_head& link)
+{
+    const bool has_digits = text.size() >= 4 && text[0] >= '0' && text[0] <= '2' &&
+                            (text[1] == '0' || text[1] == '1') &&
+                            (text[2] == '0' || text[2] == '1');
+    if (!has_digits) {
+        return false;
+    }
+    link.m_repeat = static_cast<link_repeat>(text[0] - '0');
+    link.m_waiting = static_cast<link_waiting>(text[1] - '0');
+    link.m_insistence = static_cast<link_insistence>(text[2] - '0');
+    const auto* const end = text.data() + text.size();
+    const auto [stop, problem] = std::from_chars(text.data() + 3, end, link.m_priority);
+    return problem == std::errc{} && stop == end;
+}
+
 } // namespace
 
 void add_link_fields(request_head& head, const link_head& link, std::uint64_t body_hash,
@@ -83,6 +108,7 @@
     add("Chivevane-Fingerprint", std::to_string(link.m_fingerprint));
     add("Chivevane-Time-Left", std::to_string(link.m_time_left.count()));
     add(gate_clock_field, std::to_string(link.m_gate_clock));
+    add(mode_field, format_mode(link));
     if (!link.m_strike.empty()) {
         add(strike_field, link.m_strike);
     }
@@ -117,6 +143,9 @@
         std::chrono::milliseconds{fields.number<std::int64_t>("Chivevane-Time-Left")};
     link.m_gate_clock = fields.number<std::int64_t>(gate_clock_field);
     link.m_strike = find_field(head.m_fields, strike_field).value_or("");
+    if (!parse_mode(fields.text(mode_field), link)) {
+        return malformed(mode_field);
+    }
     if (!fields.failed_field().empty()) {
         return malformed(fields.failed_field());
     }
--- a/libraries/libwire/link_head.h
+++ b/libraries/libwire/link_head.h
@@ -11,6 +11,18 @@
 
 namespace chivevane {
 
+/// Whether an attempt may run again after it may have run.
+enum class link_repeat : std::uint8_t { by_method, allowed, forbidden };
+
+/// What the gate does with an attempt that its upstream has no room for.
+enum class link_waiting : std::uint8_t {
+    allowed,  ///< Queues it while there is hope for an answer in time.
+    forbidden ///< Refuses it, as another upstream may have room.
+};
+
+/// Whether a gate may refuse an attempt because its upstream has failed of late.
+enum class link_insistence : std::uint8_t { none, runs_on_failing };
+
 /// What an ingress tells a gate about an attempt, carried in fields called Chivevane-*.
 struct link_head {
     attempt_id m_attempt;
@@ -25,8 +37,12 @@
     std::chrono::milliseconds m_time_left{}; ///< Until the caller's deadline.
     std::int64_t m_gate_clock = 0; ///< Latest reading of the gate's own clock that the ingress
                                    ///< knew, in microseconds; 0 if it knew none.
-    std::string m_strike;          ///< The upstream's run that broke off on this request; may be
-                                   ///< empty. See `crash_report`.
+    link_repeat m_repeat = link_repeat::by_method;
+    link_waiting m_waiting = link_waiting::allowed;
+    link_insistence m_insistence = link_insistence::none;
+    std::uint32_t m_priority = 0; ///< 0 is served first.
+    std::string m_strike;         ///< The upstream's run that broke off on this request; may be
+                                  ///< empty. See `crash_report`.
 
     bool operator==(const link_head&) const = default;
 };
@@ -49,6 +65,9 @@
 /// Field of a gate's refusal: the upstream's run that broke off on the request.
 constexpr std::string_view strike_field = "Chivevane-Strike";
 
+/// Field of a gate's answer: how busy its upstream is, as running/slots/queued.
+constexpr std::string_view load_field = "Chivevane-Load";
+
 /// Adds the fields for `link` to `head`, signed under `secret` together with method, target and
 /// `body_hash`.
 void add_link_fields(request_head& head, const link_head& link, std::uint64_t body_hash,
--- a/libraries/libwire/message.h
+++ b/libraries/libwire/message.h
@@ -4,6 +4,7 @@
 #include "libwire/health_messages.h"
 #include "libwire/loan_messages.h"
 #include "libwire/membership_messages.h"
+#include "libwire/token_messages.h"
 
 #include <variant>
 
@@ -11,9 +12,9 @@
 
 /// All messages that hosts exchange in datagrams. New kinds go to the end, since the index is on
 /// the wire.
-using message =
-    std::variant<heartbeat, document_revisions, loan_request, loan_response, void_request,
-                 void_response, crash_report, health_report, loan_report, share_request,
-                 share_response, gossip, probe, probe_ack, account_request, document_question>;
+using message = std::variant<heartbeat, document_revisions, loan_request, loan_response,
+                             void_request, void_response, crash_report, health_report, loan_report,
+                             share_request, share_response, gossip, probe, probe_ack,
+                             account_request, document_question, token_request, token_response>;
 
 } // namespace chivevane
--- a/libraries/libwire/transfer.h
+++ b/libraries/libwire/transfer.h
@@ -14,6 +14,10 @@
 };
 
 /// Whether an outgoing request may use an idle connection or must open its own.
-enum class connection_choice : std::uint8_t { reuse, fresh };
+enum class connection_choice : std::uint8_t {
+    reuse,
+    fresh,
+    recent, ///< An idle connection only if it was used moments ago.
+};
 
 } // namespace chivevane
