libpolicy: Earn retries for all hosts together and tell of failures

Cause: most failed permit requests had failed since a call of the upstream had: its retry was refused, as a host earned 0.12 of a retry a request and began with none. The circuit of an upstream that failed often learned a high ordinary share of failures and stayed closed.

Lines run-failed, failure-passed-on, request-refused, rate-exceeded tell what was decided by what.

--- a/libraries/libpolicy/gate/circuit.cpp
+++ b/libraries/libpolicy/gate/circuit.cpp
@@ -11,8 +11,8 @@
 constexpr double lowest_doubt = -3.5; ///< Odds of about 3 in 100, however long all went well.
 constexpr double highest_doubt = 3.5;
 constexpr double least_failure_share = 0.012;
-constexpr double greatest_failure_share = 0.3;
-constexpr double learning_weight = 0.01; ///< About the last hundred answers.
+constexpr double greatest_failure_share = 0.15;
+constexpr double learning_weight = 0.004; ///< About the last 250 answers.
 constexpr double refused_weight = 0.5;   ///< Of a failure: a full upstream refuses as well.
 constexpr double silent_weight = 0.6;    ///< Of a failure: some work takes long.
 constexpr std::uint32_t successes_to_close = 2;
@@ -21,7 +21,7 @@
 constexpr duration longest_stay = 2s;
 
 /// Trials wait this long for an idempotent attempt before others are taken.
-constexpr duration idempotent_trials = 1500ms;
+constexpr duration idempotent_trials = 3s;
 
 double failure_evidence(const upstream_circuit& state)
 {
--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <fmt/format.h>
 
 namespace chivevane::ingress {
 
@@ -110,6 +111,27 @@
     return true;
 }
 
+/// Tells the log of an upstream's failure that the caller gets, and why no other was asked.
+void record_failure(const node_state& node, context& surroundings, const found_attempt& about,
+                    std::uint16_t answered)
+{
+    const auto& [request, attempt] = about;
+    const bool may_repeat = request.m_repeatability == routing::repeatability::idempotent;
+    emit(surroundings,
+         record_event{"failure-passed-on",
+                      {{"request", std::string{caller_id_of(request)}},
+                       {"attempt", to_string(attempt.m_id)},
+                       {"upstream", attempt.m_destination.m_upstream.m_endpoint},
+                       {"route", request.m_route->m_name},
+                       {"status", std::to_string(answered)},
+                       {"repeatable", may_repeat ? "yes" : "no"},
+                       {"attempts", history_of(request)},
+                       {"retries_left", fmt::format("{:.2f}", retries_left(
+                                                                  node.m_ingress.m_retry_budget,
+                                                                  request.m_service))}},
+                      record_target::timeline_and_log});
+}
+
 void relay(node_state& node, context& surroundings, const found_attempt& about,
            std::optional<response_head> head)
 {
@@ -231,6 +253,9 @@
     if (is_worth_retry(surroundings, head) && retry_elsewhere(node, surroundings, about)) {
         return;
     }
+    if (head.m_status >= 500) {
+        record_failure(node, surroundings, about, head.m_status);
+    }
     request.m_answer = begin_answer(request.m_head, head);
     relay(node, surroundings, about, forwardable_response(head));
 }
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -21,6 +21,9 @@
 /// Where gates are asked in turn, one that does not take the connection is soon passed over.
 constexpr duration probing_connect_timeout = 300ms;
 
+/// Part of the reserve that is used: hosts that come and go may count each other late.
+constexpr double reserve_margin = 0.75;
+
 /// Gates that one request asks at most.
 constexpr std::size_t max_gates_asked = 14;
 
@@ -176,7 +179,8 @@
         return {};
     }
     const auto hosts = static_cast<double>(membership::count_live_peers(node.m_membership) + 1);
-    return {limits.m_share, std::max(1.0, limits.m_reserve / hosts)};
+    const auto reserve = std::max(1.0, limits.m_reserve * reserve_margin / hosts);
+    return {limits.m_share, reserve, reserve};
 }
 
 /// Whether an attempt may have put load on its upstream. Gates that refused did not.
@@ -188,7 +192,7 @@
 }
 
 /// `spend_attempt` where gates are asked in turn: a gate that refuses costs no upstream anything.
-bool spend_probing_attempt(node_state& node, context& surroundings, const ingress_request& request,
+bool spend_probing_attempt(node_state& node, const ingress_request& request,
                            const refusal& reason)
 {
     if (request.m_attempts.size() >= max_gates_asked) {
@@ -202,7 +206,7 @@
     const bool may_run_again = reason.m_outcome == request_outcome::not_run ||
                                request.m_repeatability == routing::repeatability::idempotent;
     return count_upstreams_reached(request) < limit && may_run_again &&
-           spend_retry(node.m_ingress.m_retry_budget, request.m_service, surroundings.m_now);
+           spend_earned_retry(node.m_ingress.m_retry_budget, request.m_service);
 }
 
 /// What placement is to know of each upstream of the service.
@@ -345,7 +349,7 @@
         return false;
     }
     if (is_probing(surroundings)) {
-        return spend_probing_attempt(node, surroundings, request, reason);
+        return spend_probing_attempt(node, request, reason);
     }
     const auto limit =
         request.m_route->m_attempts + request.m_extra_attempts + request.m_answer.m_resumptions;
@@ -391,26 +395,6 @@
     }
 }
 
-/// The id by which callers and logs know the request.
-std::string_view caller_id_of(const ingress_request& request)
-{
-    return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
-}
-
-/// The attempts of a request for the log: upstream and fate of each.
-std::string history_of(const ingress_request& request)
-{
-    std::string text;
-    for (const auto& attempt : request.m_attempts) {
-        const auto* const fate = !attempt.m_reached_upstream                     ? "gate-refused"
-                                 : attempt.m_outcome == request_outcome::not_run ? "not-run"
-                                                                                 : "may-have-run";
-        text += fmt::format("{}{}:{}", text.empty() ? "" : ",",
-                            attempt.m_destination.m_upstream.m_host, fate);
-    }
-    return text.empty() ? "none" : text;
-}
-
 /// Tells the log why a request gets no answer of an upstream.
 void record_refusal(const node_state& node, context& surroundings, const ingress_request& request,
                     const refusal& reason)
@@ -482,6 +466,24 @@
     }
 }
 
+std::string_view caller_id_of(const ingress_request& request)
+{
+    return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
+}
+
+std::string history_of(const ingress_request& request)
+{
+    std::string text;
+    for (const auto& attempt : request.m_attempts) {
+        const auto* const fate = !attempt.m_reached_upstream                     ? "gate-refused"
+                                 : attempt.m_outcome == request_outcome::not_run ? "not-run"
+                                                                                 : "may-have-run";
+        text += fmt::format("{}{}:{}", text.empty() ? "" : ",",
+                            attempt.m_destination.m_upstream.m_host, fate);
+    }
+    return text.empty() ? "none" : text;
+}
+
 bool has_live_attempt(const ingress_request& request)
 {
     return std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -5,6 +5,8 @@
 #include "libwire/link_head.h"
 
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace chivevane {
 
@@ -61,6 +63,12 @@
 /// Puts the request in its place in the order of time.
 void reschedule(ingress_state& state, ingress_request& request);
 
+/// The id by which callers and logs know the request; `-` if its caller gave none.
+std::string_view caller_id_of(const ingress_request& request);
+
+/// The attempts of a request for the log: host and fate of each.
+std::string history_of(const ingress_request& request);
+
 /// Whether an answer to any attempt is still awaited.
 bool has_live_attempt(const ingress_request& request);
 
--- a/libraries/libpolicy/ingress/retry_budget.cpp
+++ b/libraries/libpolicy/ingress/retry_budget.cpp
@@ -24,8 +24,10 @@
 
 void earn_retries(retry_budget& budget, std::string_view service, const retry_allotment& allotment)
 {
+    const bool is_first = !budget.m_services.contains(service);
     auto& allowance = allowance_of(budget, service);
-    allowance.m_retries = std::min(allotment.m_reserve, allowance.m_retries + allotment.m_share);
+    allowance.m_retries += allotment.m_share + (is_first ? allotment.m_initial : 0);
+    allowance.m_retries = std::min(allotment.m_reserve, allowance.m_retries);
     allowance.m_reroutes = std::min(max_reroutes, allowance.m_reroutes + reroutes_per_request);
 }
 
@@ -42,6 +44,22 @@
     return true;
 }
 
+double retries_left(const retry_budget& budget, std::string_view service)
+{
+    const auto found = budget.m_services.find(service);
+    return found == budget.m_services.end() ? 0 : found->second.m_retries;
+}
+
+bool spend_earned_retry(retry_budget& budget, std::string_view service)
+{
+    auto& allowance = allowance_of(budget, service);
+    if (allowance.m_retries < 1) {
+        return false;
+    }
+    allowance.m_retries -= 1;
+    return true;
+}
+
 bool spend_reroute(retry_budget& budget, std::string_view service)
 {
     auto& allowance = allowance_of(budget, service);
--- a/libraries/libpolicy/ingress/retry_budget.h
+++ b/libraries/libpolicy/ingress/retry_budget.h
@@ -29,6 +29,7 @@
 struct retry_allotment {
     double m_share = 0.08; ///< Earned by each request.
     double m_reserve = 10; ///< Kept at most.
+    double m_initial = 0;  ///< There before the first request.
 };
 
 /// Counts a first attempt: it earns a share of a retry.
@@ -37,6 +38,12 @@
 /// Takes a retry or hedge, if the budget has one.
 bool spend_retry(retry_budget& budget, std::string_view service, instant now);
 
+/// Retries that requests have earned and nobody has taken.
+double retries_left(const retry_budget& budget, std::string_view service);
+
+/// Takes a retry, if requests have earned one.
+bool spend_earned_retry(retry_budget& budget, std::string_view service);
+
 /// Takes a new attempt after one that was proven not run, if the budget has one.
 bool spend_reroute(retry_budget& budget, std::string_view service);
 
