--- a/libraries/libhost/shared_secret.cpp
+++ b/libraries/libhost/shared_secret.cpp
@@ -39,26 +39,28 @@
 
     void look()
     {
-        m_store(store_read{m_key}, [self = shared_from_this()](const store_outcome& outcome) {
-            const auto* const entries = std::get_if<store_entries>(&outcome);
-            if (entries == nullptr) {
-                self->report_failure(outcome);
-                self->look_after(retry_interval);
-                return;
-            }
-            for (const auto& entry : entries->m_entries) {
-                if (entry.m_key == self->m_key && entry.m_version != 0) {
-                    self->m_on_secret(entry.m_value);
-                    return;
-                }
-            }
-            self->make();
-        });
+        m_store(store_read{m_key, m_freshness},
+                [self = shared_from_this()](const store_outcome& outcome) {
+                    const auto* const entries = std::get_if<store_entries>(&outcome);
+                    if (entries == nullptr) {
+                        self->report_failure(outcome);
+                        self->look_after(retry_interval);
+                        return;
+                    }
+                    for (const auto& entry : entries->m_entries) {
+                        if (entry.m_key == self->m_key && entry.m_version != 0) {
+                            self->m_on_secret(entry.m_value);
+                            return;
+                        }
+                    }
+                    self->make();
+                });
     }
 
     /// Whatever becomes of the write, the store has one secret afterwards, which is read anew.
     void make()
     {
+        m_freshness = read_freshness::latest;
         m_store(store_compare_and_swap{m_key, 0, random_hex(secret_size)},
                 [self = shared_from_this()](const store_outcome& outcome) {
                     const bool is_done = std::holds_alternative<store_written>(outcome) ||
@@ -83,6 +85,7 @@
     store_runner m_store;
     std::string m_key;
     std::function<void(std::string)> m_on_secret;
+    read_freshness m_freshness = read_freshness::recent;
     bool m_has_reported = false;
 };
 
--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -16,9 +16,6 @@
 /// Watchers of each data centre: one may be paused or cut off from the store unnoticed.
 constexpr std::size_t watchers_per_datacentre = 2;
 
-/// Length of a watch: bounds how long a connection that went silent hides changes.
-constexpr duration watch_timeout = 3s;
-
 /// Shortest time between two calls, also on a store that answers watches at once.
 constexpr duration shortest_call_interval = 200ms;
 
@@ -150,7 +147,8 @@
         return;
     }
     call(state, surroundings, store_purpose::document_watch,
-         store_watch{std::string{documents_prefix}, state.m_store_revision, watch_timeout});
+         store_watch{std::string{documents_prefix}, state.m_store_revision,
+                     surroundings.m_settings.m_watch_timeout});
 }
 
 void on_read_outcome(configuration_state& state, context& surroundings,
--- a/libraries/libpolicy/gate/circuit.cpp
+++ b/libraries/libpolicy/gate/circuit.cpp
@@ -13,8 +13,8 @@
 constexpr double least_failure_share = 0.012;
 constexpr double greatest_failure_share = 0.15;
 constexpr double learning_weight = 0.004; ///< About the last 250 answers.
-constexpr double refused_weight = 0.5;   ///< Of a failure: a full upstream refuses as well.
-constexpr double silent_weight = 0.6;    ///< Of a failure: some work takes long.
+constexpr double refused_weight = 0.5;    ///< Of a failure: a full upstream refuses as well.
+constexpr double silent_weight = 0.6;     ///< Of a failure: some work takes long.
 constexpr std::uint32_t successes_to_close = 2;
 
 constexpr duration first_stay = 400ms;
--- a/libraries/libpolicy/host_settings.h
+++ b/libraries/libpolicy/host_settings.h
@@ -55,8 +55,10 @@
     std::string m_shared_secret;       ///< Authenticates hosts to each other.
     std::uint64_t m_random_seed = 1;
     duration m_shutdown_limit = 30s; ///< Longest wait for requests in progress when leaving.
-    duration m_shutdown_notice{};    ///< Part of it in which callers and hosts may still send work.
-    std::string m_service;           ///< Of the upstream on this host; empty if it is not told.
+    /// Length of a watch of the store: bounds how long a connection that went silent hides changes.
+    duration m_watch_timeout = 3s;
+    duration m_shutdown_notice{}; ///< Part of it in which callers and hosts may still send work.
+    std::string m_service;        ///< Of the upstream on this host; empty if it is not told.
     placement_mode m_placement = placement_mode::weighted;
     stale_rules m_stale_rules = stale_rules::refuse;
     rate_mode m_rate_mode = rate_mode::exact;
--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -118,18 +118,18 @@
     const auto& [request, attempt] = about;
     const bool may_repeat = request.m_repeatability == routing::repeatability::idempotent;
     emit(surroundings,
-         record_event{"failure-passed-on",
-                      {{"request", std::string{caller_id_of(request)}},
-                       {"attempt", to_string(attempt.m_id)},
-                       {"upstream", attempt.m_destination.m_upstream.m_endpoint},
-                       {"route", request.m_route->m_name},
-                       {"status", std::to_string(answered)},
-                       {"repeatable", may_repeat ? "yes" : "no"},
-                       {"attempts", history_of(request)},
-                       {"retries_left", fmt::format("{:.2f}", retries_left(
-                                                                  node.m_ingress.m_retry_budget,
+         record_event{
+             "failure-passed-on",
+             {{"request", std::string{caller_id_of(request)}},
+              {"attempt", to_string(attempt.m_id)},
+              {"upstream", attempt.m_destination.m_upstream.m_endpoint},
+              {"route", request.m_route->m_name},
+              {"status", std::to_string(answered)},
+              {"repeatable", may_repeat ? "yes" : "no"},
+              {"attempts", history_of(request)},
+              {"retries_left", fmt::format("{:.2f}", retries_left(node.m_ingress.m_retry_budget,
                                                                   request.m_service))}},
-                      record_target::timeline_and_log});
+             record_target::timeline_and_log});
 }
 
 void relay(node_state& node, context& surroundings, const found_attempt& about,
@@ -268,6 +268,7 @@
                              (end.m_end == transfer_end::complete || request.m_answer.m_length);
     request.m_answer.m_relayed += end.m_body_bytes;
     if (is_complete) {
+        note_size(node.m_ingress.m_latencies, request.m_route->m_name, request.m_answer.m_relayed);
         emit(surroundings, finish_exchange{request.m_exchange});
         forget_request(node, request);
         return;
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -19,7 +19,10 @@
 constexpr duration connect_timeout = 1s;
 
 /// Where gates are asked in turn, one that does not take the connection is soon passed over.
-constexpr duration probing_connect_timeout = 300ms;
+constexpr duration probing_connect_timeout = 150ms;
+
+/// Mean size of a route's answers from which they should not cross data centres. Bytes.
+constexpr double large_answer = 20'000;
 
 /// Part of the reserve that is used: hosts that come and go may count each other late.
 constexpr double reserve_margin = 0.75;
@@ -192,8 +195,7 @@
 }
 
 /// `spend_attempt` where gates are asked in turn: a gate that refuses costs no upstream anything.
-bool spend_probing_attempt(node_state& node, const ingress_request& request,
-                           const refusal& reason)
+bool spend_probing_attempt(node_state& node, const ingress_request& request, const refusal& reason)
 {
     if (request.m_attempts.size() >= max_gates_asked) {
         return false;
@@ -226,6 +228,7 @@
             if (attempt.m_destination.m_upstream == candidate.m_choice.m_upstream) {
                 each.m_was_tried = true;
                 each.m_has_run_it = each.m_has_run_it || attempt.m_reached_upstream;
+                each.m_has_waited = each.m_has_waited || attempt.m_waiting == link_waiting::allowed;
             }
         }
         options.push_back(std::move(each));
@@ -238,10 +241,12 @@
 {
     const auto options = options_for(node, surroundings, request);
     const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
-    const auto decided = placement::decide(
-        options,
-        {refusals, health::floor_of(node.m_configuration, request.m_service), surroundings.m_now},
-        surroundings.m_random);
+    const auto size = mean_size(node.m_ingress.m_latencies, request.m_route->m_name);
+    const auto decided =
+        placement::decide(options,
+                          {refusals, health::floor_of(node.m_configuration, request.m_service),
+                           size >= large_answer, surroundings.m_now},
+                          surroundings.m_random);
     if (!decided) {
         return std::nullopt;
     }
--- a/libraries/libpolicy/membership/gossip_round.cpp
+++ b/libraries/libpolicy/membership/gossip_round.cpp
@@ -190,8 +190,8 @@
         if (is_self || peer.m_status == member_status::dead || repeated == probe_limit) {
             continue;
         }
-        const bool is_overdue =
-            surroundings.m_now - peer.m_heard_at > overdue_timeout * state.m_views;
+        const auto timeout = scaled(overdue_timeout, surroundings.m_settings.m_timing.m_round);
+        const bool is_overdue = surroundings.m_now - peer.m_heard_at > timeout * state.m_views;
         if (peer.m_unanswered > 0 || is_overdue || state.m_resume_nonce) {
             send_probe(state, surroundings, peer);
             ++repeated;
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -71,9 +71,13 @@
 }
 
 /// The status that follows from the age of the latest round and the member's own word.
-member_status status_at(const member& peer, instant now, std::uint32_t views)
+member_status status_at(const member& peer, const context& surroundings, std::uint32_t views)
 {
-    const auto age = (now - peer.m_heard_at) / views;
+    // The age in rounds of the ordinary length.
+    const auto since = surroundings.m_now - peer.m_heard_at;
+    const auto age = from_seconds(to_seconds(since) * to_seconds(round_interval) /
+                                  to_seconds(surroundings.m_settings.m_timing.m_round)) /
+                     views;
     if (age > death_timeout) {
         return member_status::dead;
     }
@@ -86,7 +90,7 @@
 
 void judge(const membership_state& state, context& surroundings, member& peer)
 {
-    const auto status = status_at(peer, surroundings.m_now, state.m_views);
+    const auto status = status_at(peer, surroundings, state.m_views);
     if (status == peer.m_status) {
         return;
     }
--- a/libraries/libpolicy/membership/registration.cpp
+++ b/libraries/libpolicy/membership/registration.cpp
@@ -137,7 +137,8 @@
     state.m_lonely_reads = live_peers == 0 ? state.m_lonely_reads + 1 : 0;
     const auto interval = live_peers == 0 ? lonely : duration{reread_interval};
     state.m_next_read = surroundings.m_now + jittered(interval, surroundings);
-    call(state, surroundings, registration_step::reading, store_read{std::string{hosts_prefix}});
+    call(state, surroundings, registration_step::reading,
+         store_read{std::string{hosts_prefix}, read_freshness::recent});
 }
 
 /// When the next call is due: a host without peers reads the list between renewals.
--- a/libraries/libpolicy/membership/timing.h
+++ b/libraries/libpolicy/membership/timing.h
@@ -7,7 +7,8 @@
 
 namespace chivevane::membership {
 
-/// Time between two rounds of gossip of one host.
+/// Time between two rounds of gossip of one host that the timeouts below are for. Where the
+/// settings ask for longer rounds, the timeouts are as many times longer.
 constexpr duration round_interval = 500ms;
 
 /// Age of a member's latest round from which it is probed directly: several probes fit in before it
@@ -31,13 +32,16 @@
 /// Largest fleet in which accounts are sent to every member directly instead of on request.
 constexpr std::size_t direct_push_limit = 64;
 
-/// Probes of a round in which all members answer.
-constexpr std::size_t probes_per_round = 4;
-
 /// Unanswered probes in a row after which the way to a member or back counts as broken.
 constexpr std::uint32_t unreachable_after_probes = 7;
 
 /// Time after which a member that stays dead is forgotten.
 constexpr duration forget_timeout = 24h;
 
+/// `timeout` for rounds of length `round`.
+constexpr duration scaled(duration timeout, duration round)
+{
+    return from_seconds(to_seconds(timeout) * to_seconds(round) / to_seconds(round_interval));
+}
+
 } // namespace chivevane::membership
--- a/libraries/libpolicy/placement/placement.cpp
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -71,6 +71,13 @@
     return found.empty() ? eligible : found;
 }
 
+/// Whether one of them has refused the attempt though it might have waited there.
+bool has_waited(std::span<const option> options, const std::vector<std::size_t>& group)
+{
+    return std::any_of(group.begin(), group.end(),
+                       [&options](std::size_t index) { return options[index].m_has_waited; });
+}
+
 /// The one with the least load among those where the attempt may wait.
 std::size_t least_loaded(std::span<const option> options, const std::vector<std::size_t>& group)
 {
@@ -102,17 +109,22 @@
     }
     const auto untried =
         filter(options, sound, [](const option& each) { return !each.m_was_tried; });
+    const auto near = filter(options, sound, [](const option& each) { return each.m_is_near; });
+    const bool stays_near = about.m_is_large && !near.empty();
     if (about.m_refusals < refusals_before_waiting) {
         const auto idle =
             filter(options, untried, [now](const option& each) { return !is_busy(each, now); });
         for (const bool is_near : {true, false}) {
             const auto group = filter(
                 options, idle, [is_near](const option& each) { return each.m_is_near == is_near; });
-            if (!group.empty()) {
+            if (!group.empty() && (is_near || !stays_near)) {
                 return decision{pick(options, group, engine), link_waiting::forbidden, insistence};
             }
         }
     }
+    if (stays_near && !has_waited(options, near)) {
+        return decision{least_loaded(options, near), link_waiting::allowed, insistence};
+    }
     if (sound.empty()) {
         return std::nullopt;
     }
--- a/libraries/libpolicy/placement/placement.h
+++ b/libraries/libpolicy/placement/placement.h
@@ -28,12 +28,14 @@
     destination_record m_record;
     bool m_was_tried = false;  ///< Has refused this request.
     bool m_has_run_it = false; ///< May have run this request.
+    bool m_has_waited = false; ///< Has refused it even to wait.
 };
 
 /// What the choice depends on besides the options.
 struct situation {
     std::size_t m_refusals = 0; ///< Gates that refused the request so far.
     double m_floor = 0;         ///< Share of the slots that must stay in use.
+    bool m_is_large = false;    ///< The answer is large: it should not cross data centres.
     instant m_now;
 };
 
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -17,6 +17,7 @@
 constexpr value_bounds<std::int64_t> head_bounds{1'024, 1'048'576};
 constexpr value_bounds<std::int64_t> body_bounds{0, 67'108'864};
 constexpr value_bounds<std::int64_t> shutdown_bounds_ms{0, 3'600'000};
+constexpr value_bounds<std::int64_t> watch_bounds_ms{100, 30'000};
 constexpr value_bounds<std::int64_t> round_bounds_ms{100, 10'000};
 constexpr value_bounds<std::int64_t> receiver_bounds{1, 3};
 constexpr value_bounds<std::int64_t> probe_bounds{1, 64};
@@ -286,7 +287,8 @@
                             "stale_rules",
                             "rates",
                             "timing",
-                            "retries"},
+                            "retries",
+                            "watch_timeout_ms"},
                            faults};
     read_identity(reader, settings);
     if (reader.has("ports")) {
@@ -315,6 +317,8 @@
     const auto default_limit = to_milliseconds(settings.m_policy.m_shutdown_limit);
     settings.m_policy.m_shutdown_limit = std::chrono::milliseconds{
         reader.integer_or("shutdown_limit_ms", shutdown_bounds_ms, default_limit)};
+    settings.m_policy.m_watch_timeout = std::chrono::milliseconds{reader.integer_or(
+        "watch_timeout_ms", watch_bounds_ms, to_milliseconds(settings.m_policy.m_watch_timeout))};
     settings.m_policy.m_shutdown_notice =
         std::chrono::milliseconds{reader.integer_or("shutdown_notice_ms", shutdown_bounds_ms, 0)};
     settings.m_timeline_entries = static_cast<std::size_t>(
--- a/libraries/libwire/store_operation.h
+++ b/libraries/libwire/store_operation.h
@@ -18,9 +18,13 @@
     bool operator==(const store_entry&) const = default;
 };
 
+/// Whether a read has to show all writes before it. One that does not is cheaper in some stores.
+enum class read_freshness : std::uint8_t { latest, recent };
+
 /// Reads all keys that begin with `m_prefix`.
 struct store_read {
     std::string m_prefix;
+    read_freshness m_freshness = read_freshness::latest;
     bool operator==(const store_read&) const = default;
 };
 
