libpolicy: Place work on sound upstreams within its latency target

Change: token requests go by way of a third host when repeated, and a meter is passed over only after 400 ms of silence; failing upstreams get only what no sound one takes; an attempt waits where its answer is expected within its latency target; failures that a failed call explains do not count against an upstream; an attempt without its body is not sent.

--- a/libraries/libhost/transfer_runner.cpp
+++ b/libraries/libhost/transfer_runner.cpp
@@ -20,6 +20,13 @@
 void transfer_runner::start(const start_transfer& order)
 {
     const auto id = order.m_transfer;
+    const auto held = m_exchanges.find(order.m_exchange);
+    if (held == m_exchanges.end()) {
+        // The body went with the caller; without it the request would be another.
+        m_transfers[id] = {};
+        m_on_news(transfer_ended{id, transfer_end::connect_failed, 0, "the caller has gone"});
+        return;
+    }
     outgoing_request request;
     request.m_ip = order.m_ip;
     request.m_port = order.m_port;
@@ -27,9 +34,7 @@
     request.m_connection = order.m_connection;
     request.m_connect_timeout = order.m_connect_timeout;
     request.m_stall_timeout = order.m_stall_timeout;
-    if (const auto held = m_exchanges.find(order.m_exchange); held != m_exchanges.end()) {
-        request.m_body = held->second.m_body;
-    }
+    request.m_body = held->second.m_body;
     m_transfers[id].m_held_limit = order.m_held_body;
     transfer_handlers handlers;
     handlers.m_on_head = [this, id](response_head head) { take_head(id, std::move(head)); };
--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t queue_for_each_running = 16; // More would wait longer than callers do.
 
+constexpr double mean_weight = 0.1; ///< About the last ten runs.
+
 /// Share of the slots up to which an attempt that may not wait is started: the last ones are left
 /// for bursts, and upstreams that are nearly full answer slowly.
 constexpr double idle_share = 0.75;
@@ -72,11 +74,18 @@
     return std::max<std::size_t>(1, places / (others + 1));
 }
 
-/// When a new attempt of `line` would have its answer.
-instant expected_answer(const upstream_admission& upstream, const queue_line& line, instant now)
+/// When a new attempt would have its answer: after those before it and the ones that run now.
+instant expected_answer(const upstream_admission& upstream, const queued_attempt& attempt,
+                        instant now)
 {
+    const auto before =
+        static_cast<std::int64_t>(count_before(upstream.m_queue, line_of(attempt), now));
+    if (upstream.m_cold_rate > 0) {
+        const auto mean = from_seconds(upstream.m_mean_run_s);
+        const auto own = attempt.m_expected_run == duration{} ? mean : attempt.m_expected_run;
+        return now + own + mean * (before + 1) / concurrency_of(upstream);
+    }
     const auto typical = typical_latency(upstream.m_limit);
-    const auto before = static_cast<std::int64_t>(count_before(upstream.m_queue, line, now));
     return now + typical + typical * before / concurrency_of(upstream);
 }
 
@@ -84,7 +93,8 @@
 {
     const auto line = line_of(attempt);
     return waiting_of(upstream.m_queue, line) < longest_line(upstream, line) &&
-           expected_answer(upstream, line, now) <= attempt.m_deadline;
+           expected_answer(upstream, attempt, now) <=
+               std::min(attempt.m_target, attempt.m_deadline);
 }
 
 } // namespace
@@ -167,6 +177,10 @@
         return;
     }
     auto& upstream = found->second;
+    if (result == run_result::good || result == run_result::failed) {
+        const auto weight = upstream.m_mean_run_s > 0 ? mean_weight : 1;
+        upstream.m_mean_run_s += weight * (to_seconds(latency) - upstream.m_mean_run_s);
+    }
     if (result == run_result::good) {
         on_good_answer(upstream.m_limit, latency, upstream.m_running, now);
     }
--- a/libraries/libpolicy/admission/admission_state.h
+++ b/libraries/libpolicy/admission/admission_state.h
@@ -18,7 +18,8 @@
     admission::concurrency_limit m_limit;
     upstream_warmth m_announced = upstream_warmth::cold;
     std::uint32_t m_running = 0;
-    double m_cold_rate = 0; ///< Starts per second that it bears while cold; 0 if not told.
+    double m_mean_run_s = 0; ///< Of all attempts, recent ones weighing more; 0 while unknown.
+    double m_cold_rate = 0;  ///< Starts per second that it bears while cold; 0 if not told.
     admission::start_window m_starts;
     admission::fair_queue m_queue;
 };
--- a/libraries/libpolicy/gate/circuit.cpp
+++ b/libraries/libpolicy/gate/circuit.cpp
@@ -13,7 +13,7 @@
 constexpr double least_failure_share = 0.012;
 constexpr double greatest_failure_share = 0.15;
 constexpr double learning_weight = 0.004; ///< About the last 250 answers.
-constexpr double refused_weight = 0.5;    ///< Of a failure: a full upstream refuses as well.
+constexpr double refused_weight = 0.25;   ///< Of a failure: work it refuses can run elsewhere.
 constexpr double silent_weight = 0.6;     ///< Of a failure: some work takes long.
 constexpr std::uint32_t successes_to_close = 2;
 
@@ -86,6 +86,8 @@
     case run_outcome::silent:
         change_doubt(state, silent_weight * failure_evidence(state));
         break;
+    case run_outcome::explained:
+        break;
     }
     if (state.m_doubt >= 0) {
         open(state, now);
@@ -131,6 +133,9 @@
         break;
     }
     state.m_has_trial_running = false;
+    if (outcome == run_outcome::explained) {
+        return;
+    }
     if (outcome != run_outcome::good) {
         open(state, now);
     }
@@ -163,6 +168,8 @@
         return "refused";
     case run_outcome::silent:
         return "silent";
+    case run_outcome::explained:
+        return "explained";
     }
     return "unknown";
 }
--- a/libraries/libpolicy/gate/circuit.h
+++ b/libraries/libpolicy/gate/circuit.h
@@ -38,9 +38,10 @@
 /// How one run of the upstream went.
 enum class run_outcome : std::uint8_t {
     good,
-    failed,  ///< An error, no answer, or one that belongs to no request.
-    refused, ///< Not run, though the gate knew of room.
-    silent,  ///< No answer for several times the ordinary latency.
+    failed,    ///< An error, no answer, or one that belongs to no request.
+    refused,   ///< Not run, though the gate knew of room.
+    silent,    ///< No answer for several times the ordinary latency.
+    explained, ///< An error that another service caused.
 };
 
 /// Whether an attempt may run now.
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -134,6 +134,19 @@
     end_run(node, surroundings, id, never_sent ? attempt_fate::not_run : attempt_fate::may_run);
 }
 
+/// What an answer tells of the upstream. A failure that follows from a failed call of its own tells
+/// nothing.
+circuit::run_outcome outcome_of(node_state& node, const gate_attempt& attempt,
+                                const response_head& head)
+{
+    if (head.m_status < 500) {
+        return circuit::run_outcome::good;
+    }
+    return explain_failure(node.m_failed_calls, attempt.m_handed_over_at)
+               ? circuit::run_outcome::explained
+               : circuit::run_outcome::failed;
+}
+
 /// The upstream answered that it did not run the request.
 void end_refused_by_upstream(node_state& node, context& surroundings, const attempt_id& id,
                              const transfer_head& answer)
@@ -309,9 +322,7 @@
     attempt.m_latency = surroundings.m_now - attempt.m_handed_over_at;
     attempt.m_was_load_refused = is_load_refusal(answer.m_head);
     attempt.m_has_failed = answer.m_head.m_status >= 500 && !attempt.m_was_load_refused;
-    note_outcome(node, surroundings, attempt,
-                 answer.m_head.m_status >= 500 ? circuit::run_outcome::failed
-                                               : circuit::run_outcome::good);
+    note_outcome(node, surroundings, attempt, outcome_of(node, attempt, answer.m_head));
     if (attempt.m_exchange == 0) {
         emit(surroundings, cancel_transfer{answer.m_transfer});
         end_run(node, surroundings, id, attempt_fate::may_run);
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -127,12 +127,15 @@
     const auto& link = attempt.m_link;
     attempt.m_phase = gate_phase::queued;
     set_due(node.m_gate, attempt, instant::max()); // Admission expires what waits.
-    const queued_attempt queued{id,
-                                link.m_endpoint,
-                                link.m_document + "/" + link.m_organisation,
-                                attempt.m_deadline,
-                                link.m_priority,
-                                link.m_waiting};
+    const queued_attempt queued{
+        id,
+        link.m_endpoint,
+        link.m_document + "/" + link.m_organisation,
+        attempt.m_deadline,
+        surroundings.m_now + link.m_target_left,
+        mean_latency(node.m_gate.m_upstreams.at(link.m_endpoint).m_latencies, link.m_route),
+        link.m_priority,
+        link.m_waiting};
     admission::set_cold_rate(node.m_admission, link.m_endpoint,
                              configuration::cold_rate_of(node.m_configuration, link.m_service));
     switch (admission::offer(node.m_admission, queued, surroundings.m_now)) {
--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -254,6 +254,7 @@
         return;
     }
     if (head.m_status >= 500) {
+        note_failure_of_call(node, request, surroundings.m_now);
         record_failure(node, surroundings, about, head.m_status);
     }
     request.m_answer = begin_answer(request.m_head, head);
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -86,6 +86,21 @@
     return is_usable ? found->second.m_clock : 0;
 }
 
+/// Time until an answer is no longer of full use.
+std::chrono::milliseconds target_left(const ingress_request& request, instant now,
+                                      std::chrono::milliseconds time_left)
+{
+    const auto target = request.m_route->m_latency_target;
+    // A request without an organisation may be a call of an upstream, whose own caller waits on.
+    if (target == duration{} || request.m_organisation.empty()) {
+        return std::max(time_left, std::chrono::milliseconds{1});
+    }
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.m_arrived_at + target - now);
+    return std::clamp(left, std::chrono::milliseconds{1},
+                      std::max(time_left, std::chrono::milliseconds{1}));
+}
+
 link_repeat repeat_of(const ingress_request& request)
 {
     return request.m_repeatability == routing::repeatability::idempotent ? link_repeat::allowed
@@ -107,6 +122,7 @@
             request.m_revision,
             request.m_fingerprint,
             std::max(time_left, std::chrono::milliseconds{1}),
+            target_left(request, surroundings.m_now, time_left),
             attempt.m_gate_clock,
             repeat_of(request),
             attempt.m_waiting,
@@ -229,6 +245,8 @@
                 each.m_was_tried = true;
                 each.m_has_run_it = each.m_has_run_it || attempt.m_reached_upstream;
                 each.m_has_waited = each.m_has_waited || attempt.m_waiting == link_waiting::allowed;
+                each.m_has_been_insisted =
+                    each.m_has_been_insisted || attempt.m_insistence != link_insistence::none;
             }
         }
         options.push_back(std::move(each));
@@ -242,11 +260,8 @@
     const auto options = options_for(node, surroundings, request);
     const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
     const auto size = mean_size(node.m_ingress.m_latencies, request.m_route->m_name);
-    const auto decided =
-        placement::decide(options,
-                          {refusals, health::floor_of(node.m_configuration, request.m_service),
-                           size >= large_answer, surroundings.m_now},
-                          surroundings.m_random);
+    const auto decided = placement::decide(
+        options, {refusals, size >= large_answer, surroundings.m_now}, surroundings.m_random);
     if (!decided) {
         return std::nullopt;
     }
@@ -429,6 +444,7 @@
         reason.m_kind = refusal_kind::upstream_failed; // Callers take these statuses for "not run".
     }
     record_refusal(node, surroundings, request, reason);
+    note_failure_of_call(node, request, surroundings.m_now);
     if (request.m_phase == ingress_phase::relaying || request.m_phase == ingress_phase::resuming) {
         emit(surroundings, abort_exchange{request.m_exchange});
     }
@@ -471,6 +487,13 @@
     }
 }
 
+void note_failure_of_call(node_state& node, const ingress_request& request, instant now)
+{
+    if (request.m_organisation.empty()) {
+        note_failed_call(node.m_failed_calls, now);
+    }
+}
+
 std::string_view caller_id_of(const ingress_request& request)
 {
     return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -63,6 +63,9 @@
 /// Puts the request in its place in the order of time.
 void reschedule(ingress_state& state, ingress_request& request);
 
+/// Notes a failed request that may be a call of the upstream on this host.
+void note_failure_of_call(node_state& node, const ingress_request& request, instant now);
+
 /// The id by which callers and logs know the request; `-` if its caller gave none.
 std::string_view caller_id_of(const ingress_request& request);
 
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -87,6 +87,7 @@
     request.m_service = choose_service(*judgement.m_route, surroundings.m_random);
     request.m_priority = judgement.m_priority;
     request.m_repeatability = repeatability_of(*judgement.m_route, inbound.m_head.m_method);
+    request.m_arrived_at = now;
     request.m_deadline = now + deadline_of(inbound.m_head, *judgement.m_route);
     request.m_fingerprint = fingerprint_of(request);
     return request;
--- a/libraries/libpolicy/ingress/ingress_state.h
+++ b/libraries/libpolicy/ingress/ingress_state.h
@@ -78,6 +78,7 @@
     std::string m_organisation; ///< Empty on routes open to all.
     rate_limit m_limit;
     routing::repeatability m_repeatability = routing::repeatability::not_idempotent;
+    instant m_arrived_at;
     instant m_deadline; ///< Until the head of the answer, or of the rest of it.
     instant m_hedge_at = instant::max();
     instant m_due = instant::max(); ///< See `ingress_state::m_due`.
--- a/libraries/libpolicy/latency_tracker.cpp
+++ b/libraries/libpolicy/latency_tracker.cpp
@@ -43,6 +43,12 @@
     known.m_mean_s += weight * (to_seconds(latency) - known.m_mean_s);
 }
 
+duration mean_latency(const latency_tracker& tracker, std::string_view route)
+{
+    const auto found = tracker.m_routes.find(route);
+    return found == tracker.m_routes.end() ? duration{} : from_seconds(found->second.m_mean_s);
+}
+
 std::optional<duration> suspicious_silence(const latency_tracker& tracker, std::string_view route,
                                            duration bound)
 {
--- a/libraries/libpolicy/latency_tracker.h
+++ b/libraries/libpolicy/latency_tracker.h
@@ -27,6 +27,9 @@
 /// Adds the latency of a good answer.
 void note_latency(latency_tracker& tracker, std::string_view route, duration latency);
 
+/// Mean latency of the route's answers; zero while unknown.
+duration mean_latency(const latency_tracker& tracker, std::string_view route);
+
 /// Adds the size of a whole body.
 void note_size(latency_tracker& tracker, std::string_view route, std::uint64_t bytes);
 
--- a/libraries/libpolicy/limits/metering.cpp
+++ b/libraries/libpolicy/limits/metering.cpp
@@ -10,15 +10,19 @@
 
 namespace {
 
-constexpr duration repeat_interval = 15ms; ///< Several round trips between data centres.
-constexpr std::uint32_t times_sent = 3;    ///< Losing all of them is rare at a few % loss.
-constexpr duration silence_penalty = 2s;   ///< A meter that did not answer is passed over.
-constexpr duration answer_memory = 500ms;  ///< Longer than a request is repeated.
+constexpr duration first_repeat_interval = 12ms; ///< Several round trips; doubles each time.
+constexpr std::uint32_t times_sent = 5;          ///< Losing all is rare even at 30% loss.
+constexpr duration silence_penalty = 2s;         ///< A meter that did not answer is passed over.
+
+/// A meter is passed over only after it has been silent for so long: a second meter of the same
+/// organisation gives tokens of its own.
+constexpr duration silence_limit = 400ms;
+constexpr duration answer_memory = 500ms; ///< Longer than a request is repeated.
 constexpr duration idle_lifetime = 30s;
 constexpr duration sweep_interval = 5s;
 
 /// A meter that begins knows nothing of the requests just before, so it gives less than the burst.
-constexpr double first_fill = 0.6;
+constexpr double first_fill = 0.4;
 
 /// Requests beyond the burst that a meter lets through: bursts of callers that keep to their rate
 /// are not told from those that do not.
@@ -51,9 +55,9 @@
     return found->second;
 }
 
-/// The host that meters `organisation`: the same on all hosts that see the same members.
-std::string meter_of(const metering_state& state, const context& surroundings,
-                     const membership_state& members, std::string_view organisation)
+/// This host and the members that may meter, without those that were silent of late.
+std::vector<std::string> possible_meters(const metering_state& state, const context& surroundings,
+                                         const membership_state& members)
 {
     const auto& self = surroundings.m_settings.m_self.m_name;
     std::vector<std::string> able;
@@ -65,7 +69,15 @@
             able.push_back(name);
         }
     }
-    return std::string{rendezvous_owner(organisation, able)};
+    return able;
+}
+
+/// The host that meters `organisation`: the same on all hosts that see the same members.
+std::string meter_of(const metering_state& state, const context& surroundings,
+                     const membership_state& members, std::string_view organisation)
+{
+    return std::string{
+        rendezvous_owner(organisation, possible_meters(state, surroundings, members))};
 }
 
 /// Takes a token of the organisation's bucket on this host.
@@ -111,15 +123,47 @@
     return refused{std::chrono::milliseconds{response.m_retry_after_ms}};
 }
 
-void send_pending(pending_token& pending, context& surroundings, const membership_state& members)
+void send_to(context& surroundings, const membership_state& members, std::string_view host,
+             const token_request& request)
+{
+    if (const auto* const peer = membership::find_member(members, host)) {
+        emit(surroundings, send_datagram{peer->m_latest.m_address, request});
+    }
+}
+
+/// Sends the request to the meter, and when repeated also by way of some other host, since paths
+/// may be broken between two hosts alone.
+void send_pending(metering_state& state, pending_token& pending, context& surroundings,
+                  const membership_state& members)
 {
     ++pending.m_times_sent;
-    pending.m_next_look = surroundings.m_now + repeat_interval;
-    if (const auto* const peer = membership::find_member(members, pending.m_meter)) {
-        emit(surroundings, send_datagram{peer->m_latest.m_address, pending.m_request});
+    pending.m_next_look =
+        surroundings.m_now + first_repeat_interval * (1U << (pending.m_times_sent - 1));
+    const auto& meter = pending.m_request.m_meter;
+    send_to(surroundings, members, meter, pending.m_request);
+    if (pending.m_times_sent == 1) {
+        return;
+    }
+    auto relays = possible_meters(state, surroundings, members);
+    std::erase(relays, meter);
+    std::erase(relays, surroundings.m_settings.m_self.m_name);
+    if (!relays.empty()) {
+        const auto choice = surroundings.m_random(static_cast<std::uint32_t>(relays.size()));
+        send_to(surroundings, members, relays[choice], pending.m_request);
     }
 }
 
+/// Passes a request on to its meter.
+void relay(metering_state& state, context& surroundings, const membership_state& members,
+           const token_request& request)
+{
+    auto passed_on = request;
+    passed_on.m_address = surroundings.m_settings.m_address;
+    passed_on.m_id = ++state.m_last_id;
+    state.m_relayed[passed_on.m_id] = {request.m_address, request.m_id, surroundings.m_now};
+    send_to(surroundings, members, request.m_meter, passed_on);
+}
+
 /// Decides without a meter, within an even part of the limit.
 verdict decide_alone(metering_state& state, context& surroundings, const membership_state& members,
                      const pending_token& pending)
@@ -131,7 +175,7 @@
          surroundings.m_now);
     emit(surroundings, record_event{"meter-silent",
                                     {{"organisation", pending.m_request.m_organisation},
-                                     {"meter", pending.m_meter},
+                                     {"meter", pending.m_request.m_meter},
                                      {"tokens", fmt::format("{:.2f}", account.m_share.m_tokens)}},
                                     record_target::timeline_and_log});
     if (account.m_share.m_tokens < 1) {
@@ -142,6 +186,16 @@
     return granted{};
 }
 
+/// A meter has left a request without an answer.
+void note_silence(metering_state& state, const std::string& meter, instant now)
+{
+    const auto [place, is_first] = state.m_silent_since.try_emplace(meter, now);
+    if (!is_first && now - place->second >= silence_limit) {
+        state.m_silent_until[meter] = now + silence_penalty;
+        state.m_silent_since.erase(place);
+    }
+}
+
 void sweep(metering_state& state, instant now)
 {
     if (now < state.m_next_sweep) {
@@ -154,6 +208,8 @@
     std::erase_if(state.m_meters, [now](const auto& entry) {
         return now - entry.second.m_bucket.m_updated_at > idle_lifetime;
     });
+    std::erase_if(state.m_relayed,
+                  [now](const auto& entry) { return now - entry.second.m_at > answer_memory; });
     std::erase_if(state.m_silent_until, [now](const auto& entry) { return now >= entry.second; });
 }
 
@@ -167,17 +223,17 @@
     auto& account = account_of(state, organisation, now);
     pending_token pending{ticket,
                           {surroundings.m_settings.m_address, ++state.m_last_id,
+                           meter_of(state, surroundings, members, organisation),
                            std::string{organisation}, static_cast<float>(limit.m_rate),
                            static_cast<float>(limit.m_burst), account.m_unasked},
                           limit,
-                          meter_of(state, surroundings, members, organisation),
                           now};
     account.m_unasked = 0;
-    if (pending.m_meter == surroundings.m_settings.m_self.m_name) {
-        return verdict_of(surroundings, pending.m_request, pending.m_meter, {},
+    if (pending.m_request.m_meter == surroundings.m_settings.m_self.m_name) {
+        return verdict_of(surroundings, pending.m_request, pending.m_request.m_meter, {},
                           draw(state, pending.m_request, now));
     }
-    send_pending(pending, surroundings, members);
+    send_pending(state, pending, surroundings, members);
     state.m_pending.emplace(pending.m_request.m_id, std::move(pending));
     return waiting{};
 }
@@ -188,10 +244,14 @@
                   [ticket](const auto& entry) { return entry.second.m_ticket == ticket; });
 }
 
-void on_token_request(metering_state& state, context& surroundings, const host_identity& sender,
-                      const token_request& request)
+void on_token_request(metering_state& state, context& surroundings, const membership_state& members,
+                      const host_identity& sender, const token_request& request)
 {
     const auto now = surroundings.m_now;
+    if (request.m_meter != surroundings.m_settings.m_self.m_name) {
+        relay(state, surroundings, members, request);
+        return;
+    }
     while (!state.m_given.empty() && now - state.m_given.front().m_at > answer_memory) {
         state.m_given.pop_front();
     }
@@ -210,13 +270,20 @@
 
 void on_token_response(metering_state& state, context& surroundings, const token_response& response)
 {
+    if (const auto relayed = state.m_relayed.extract(response.m_id); !relayed.empty()) {
+        auto passed_on = response;
+        passed_on.m_id = relayed.mapped().m_id;
+        emit(surroundings, send_datagram{relayed.mapped().m_origin, passed_on});
+        return;
+    }
     const auto node = state.m_pending.extract(response.m_id);
     if (node.empty()) {
         return;
     }
     const auto& pending = node.mapped();
+    state.m_silent_since.erase(pending.m_request.m_meter);
     state.m_settled.push_back(
-        {pending.m_ticket, verdict_of(surroundings, pending.m_request, pending.m_meter,
+        {pending.m_ticket, verdict_of(surroundings, pending.m_request, pending.m_request.m_meter,
                                       surroundings.m_now - pending.m_first_sent_at, response)});
 }
 
@@ -230,11 +297,11 @@
             continue;
         }
         if (pending.m_times_sent < times_sent) {
-            send_pending(pending, surroundings, members);
+            send_pending(state, pending, surroundings, members);
             ++place;
             continue;
         }
-        state.m_silent_until[pending.m_meter] = now + silence_penalty;
+        note_silence(state, pending.m_request.m_meter, now);
         state.m_settled.push_back(
             {pending.m_ticket, decide_alone(state, surroundings, members, pending)});
         place = state.m_pending.erase(place);
--- a/libraries/libpolicy/limits/metering.h
+++ b/libraries/libpolicy/limits/metering.h
@@ -24,8 +24,9 @@
 /// Forgets a waiting request whose caller has gone.
 void withdraw_metered(metering_state& state, std::uint64_t ticket);
 
-void on_token_request(metering_state& state, context& surroundings, const host_identity& sender,
-                      const token_request& request);
+/// Answers as the meter, or passes the request on to the meter that it names.
+void on_token_request(metering_state& state, context& surroundings, const membership_state& members,
+                      const host_identity& sender, const token_request& request);
 
 void on_token_response(metering_state& state, context& surroundings,
                        const token_response& response);
--- a/libraries/libpolicy/limits/metering_state.h
+++ b/libraries/libpolicy/limits/metering_state.h
@@ -33,7 +33,6 @@
     std::uint64_t m_ticket = 0; ///< The request's.
     token_request m_request;
     rate_limit m_limit;
-    std::string m_meter;
     instant m_first_sent_at;
     instant m_next_look;
     std::uint32_t m_times_sent = 0;
@@ -51,13 +50,22 @@
     token_response m_response;
 };
 
+/// A request that this host passed on for another that cannot reach the meter.
+struct relayed_token {
+    host_address m_origin;
+    std::uint64_t m_id = 0; ///< The origin's.
+    instant m_at;
+};
+
 /// Metering on this host, for its own requests and for the organisations that it meters.
 struct metering_state {
     std::map<std::string, metered_account, std::less<>> m_accounts; ///< By document/organisation.
     std::map<std::uint64_t, pending_token> m_pending;               ///< By the id of the request.
     std::map<std::string, token_meter, std::less<>> m_meters;       ///< By document/organisation.
-    std::deque<given_answer> m_given;                               ///< Oldest first.
-    std::map<std::string, instant, std::less<>> m_silent_until;     ///< Hosts that did not answer.
+    std::map<std::uint64_t, relayed_token> m_relayed;           ///< By the id that this host gave.
+    std::deque<given_answer> m_given;                           ///< Oldest first.
+    std::map<std::string, instant, std::less<>> m_silent_since; ///< Meters without an answer.
+    std::map<std::string, instant, std::less<>> m_silent_until; ///< Meters that are passed over.
     std::vector<limits::settled_ticket> m_settled;
     std::uint64_t m_last_id = 0;
     instant m_next_sweep;
--- a/libraries/libpolicy/placement/placement.cpp
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -71,13 +71,6 @@
     return found.empty() ? eligible : found;
 }
 
-/// Whether one of them has refused the attempt though it might have waited there.
-bool has_waited(std::span<const option> options, const std::vector<std::size_t>& group)
-{
-    return std::any_of(group.begin(), group.end(),
-                       [&options](std::size_t index) { return options[index].m_has_waited; });
-}
-
 /// The one with the least load among those where the attempt may wait.
 std::size_t least_loaded(std::span<const option> options, const std::vector<std::size_t>& group)
 {
@@ -97,38 +90,36 @@
 {
     const auto now = about.m_now;
     const auto open = reachable(options, now);
-    if (open.empty()) {
-        return std::nullopt;
-    }
-    auto sound =
+    const auto sound =
         filter(options, open, [now](const option& each) { return !is_failing(each, now); });
-    auto insistence = link_insistence::none;
-    if (slots_of(options, sound) < about.m_floor * slots_of(options, open)) {
-        sound = open;
-        insistence = link_insistence::runs_on_failing;
-    }
-    const auto untried =
-        filter(options, sound, [](const option& each) { return !each.m_was_tried; });
     const auto near = filter(options, sound, [](const option& each) { return each.m_is_near; });
     const bool stays_near = about.m_is_large && !near.empty();
     if (about.m_refusals < refusals_before_waiting) {
-        const auto idle =
-            filter(options, untried, [now](const option& each) { return !is_busy(each, now); });
+        const auto idle = filter(options, sound, [now](const option& each) {
+            return !each.m_was_tried && !is_busy(each, now);
+        });
         for (const bool is_near : {true, false}) {
             const auto group = filter(
                 options, idle, [is_near](const option& each) { return each.m_is_near == is_near; });
             if (!group.empty() && (is_near || !stays_near)) {
-                return decision{pick(options, group, engine), link_waiting::forbidden, insistence};
+                return decision{pick(options, group, engine), link_waiting::forbidden};
             }
         }
     }
-    if (stays_near && !has_waited(options, near)) {
-        return decision{least_loaded(options, near), link_waiting::allowed, insistence};
+    const auto may_wait = [](const option& each) { return !each.m_has_waited; };
+    for (const auto& group : {stays_near ? near : sound, sound}) {
+        if (const auto hopeful = filter(options, group, may_wait); !hopeful.empty()) {
+            return decision{least_loaded(options, hopeful), link_waiting::allowed};
+        }
     }
-    if (sound.empty()) {
+    const auto failing = filter(options, open, [now](const option& each) {
+        return is_failing(each, now) && !each.m_has_been_insisted;
+    });
+    if (failing.empty()) {
         return std::nullopt;
     }
-    return decision{least_loaded(options, sound), link_waiting::allowed, insistence};
+    return decision{pick(options, failing, engine), link_waiting::forbidden,
+                    link_insistence::runs_on_failing};
 }
 
 } // namespace chivevane::placement
--- a/libraries/libpolicy/placement/placement.h
+++ b/libraries/libpolicy/placement/placement.h
@@ -16,8 +16,8 @@
 /// The ingress asks gates of its own data centre first, then others, and each gate either starts
 /// the attempt or refuses it within a round trip. So the state that decides is always the gate's
 /// own and current, and no load has to be told ahead of requests. Once several gates had no room,
-/// the attempt waits at the one with the least load. Upstreams that fail are passed over while
-/// enough others are left.
+/// the attempt waits at the one with the least load. Upstreams that fail are passed over until no
+/// other takes the attempt even to wait: what the sound ones cannot bear goes to them.
 namespace chivevane::placement {
 
 /// One upstream that might take the attempt.
@@ -26,16 +26,17 @@
     double m_slots = 1;
     bool m_is_near = false; ///< In the data centre of this host.
     destination_record m_record;
-    bool m_was_tried = false;  ///< Has refused this request.
-    bool m_has_run_it = false; ///< May have run this request.
-    bool m_has_waited = false; ///< Has refused it even to wait.
+    bool m_was_tried = false;         ///< Has refused this request.
+    bool m_has_run_it = false;        ///< May have run this request.
+    bool m_has_been_insisted = false; ///< Has refused it though it might run on a failing upstream.
+    bool m_has_waited = false;        ///< Has refused it even to wait.
 };
 
 /// What the choice depends on besides the options.
 struct situation {
     std::size_t m_refusals = 0; ///< Gates that refused the request so far.
-    double m_floor = 0;         ///< Share of the slots that must stay in use.
-    bool m_is_large = false;    ///< The answer is large: it should not cross data centres.
+
+    bool m_is_large = false; ///< The answer is large: it should not cross data centres.
     instant m_now;
 };
 
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -163,8 +163,8 @@
                        configuration::on_question(node.m_configuration, surroundings, question);
                    },
                    [&](const token_request& request) {
-                       limits::on_token_request(node.m_limits.m_metering, surroundings, sender,
-                                                request);
+                       limits::on_token_request(node.m_limits.m_metering, surroundings,
+                                                node.m_membership, sender, request);
                    },
                    [&](const token_response& response) {
                        limits::on_token_response(node.m_limits.m_metering, surroundings, response);
--- a/libraries/libwire/link_head.cpp
+++ b/libraries/libwire/link_head.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view signature_field = "Chivevane-Signature";
+constexpr std::string_view target_left_field = "Chivevane-Target-Left";
 constexpr std::string_view mode_field = "Chivevane-Mode";
 
 std::string text_to_sign(const request_head& head, std::uint64_t body_hash)
@@ -107,6 +108,7 @@
     add("Chivevane-Revision", std::to_string(link.m_revision));
     add("Chivevane-Fingerprint", std::to_string(link.m_fingerprint));
     add("Chivevane-Time-Left", std::to_string(link.m_time_left.count()));
+    add(target_left_field, std::to_string(link.m_target_left.count()));
     add(gate_clock_field, std::to_string(link.m_gate_clock));
     add(mode_field, format_mode(link));
     if (!link.m_strike.empty()) {
@@ -141,6 +143,7 @@
     link.m_fingerprint = fields.number<std::uint64_t>("Chivevane-Fingerprint");
     link.m_time_left =
         std::chrono::milliseconds{fields.number<std::int64_t>("Chivevane-Time-Left")};
+    link.m_target_left = std::chrono::milliseconds{fields.number<std::int64_t>(target_left_field)};
     link.m_gate_clock = fields.number<std::int64_t>(gate_clock_field);
     link.m_strike = find_field(head.m_fields, strike_field).value_or("");
     if (!parse_mode(fields.text(mode_field), link)) {
--- a/libraries/libwire/link_head.h
+++ b/libraries/libwire/link_head.h
@@ -35,6 +35,8 @@
     std::uint64_t m_revision = 0; ///< Revision of the document that the request was judged by.
     std::uint64_t m_fingerprint = 0;
     std::chrono::milliseconds m_time_left{}; ///< Until the caller's deadline.
+    /// Until an answer is no longer of full use; not more than `m_time_left`.
+    std::chrono::milliseconds m_target_left{};
     std::int64_t m_gate_clock = 0; ///< Latest reading of the gate's own clock that the ingress
                                    ///< knew, in microseconds; 0 if it knew none.
     link_repeat m_repeat = link_repeat::by_method;
--- a/libraries/libwire/token_messages.h
+++ b/libraries/libwire/token_messages.h
@@ -12,6 +12,7 @@
 struct token_request {
     host_address m_address;     ///< Of the sender.
     std::uint64_t m_id = 0;     ///< The sender's; a repeated request has the same.
+    std::string m_meter;        ///< Host that decides; another receiver passes the request on.
     std::string m_organisation; ///< document/organisation
     float m_rate = 0;           ///< Limit over all hosts, requests per second.
     float m_burst = 0;
@@ -22,7 +23,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_address, m_id, m_organisation, m_rate, m_burst, m_unasked);
+        archive(m_address, m_id, m_meter, m_organisation, m_rate, m_burst, m_unasked);
     }
 };
 
