--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -52,6 +52,9 @@
 constexpr duration longest_flush = 400ms;
 constexpr duration flush_check_interval = 20ms;
 
+/// Lines of the log in one second: more than an operator reads, and little for a small processor.
+constexpr std::uint64_t max_lines_per_second = 200;
+
 std::uint64_t hash_of(const std::string& body)
 {
     return body.empty() ? 0 : stable_hash(body);
@@ -472,12 +475,34 @@
 void host_process::carry_out(const record_event& order)
 {
     timeline_entry entry{stamp(), m_settings.m_policy.m_self.m_name, order.m_name, order.m_fields};
-    if (order.m_target == record_target::timeline_and_log) {
+    if (order.m_target == record_target::timeline_and_log && may_log()) {
         LOG(INFO) << to_log_text(entry);
     }
     append_entry(m_timeline, std::move(entry));
 }
 
+/// Bounds the lines of one second; the first line after tells how many were left out.
+bool host_process::may_log()
+{
+    const auto now = current_time();
+    if (now - m_log_second >= duration{1s}) {
+        if (m_lines_left_out > 0) {
+            write_log(log_line{"log-lines-left-out"}
+                          .add("host", m_settings.m_policy.m_self.m_name)
+                          .add("count", m_lines_left_out));
+        }
+        m_log_second = now;
+        m_lines_in_second = 0;
+        m_lines_left_out = 0;
+    }
+    if (m_lines_in_second >= max_lines_per_second) {
+        ++m_lines_left_out;
+        return false;
+    }
+    ++m_lines_in_second;
+    return true;
+}
+
 void host_process::carry_out(const stop_process&)
 {
     if (std::exchange(m_is_stopped, true)) {
--- a/libraries/libhttp/outgoing_connection.cpp
+++ b/libraries/libhttp/outgoing_connection.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-outgoing_connection::outgoing_connection(asio::any_io_executor executor,
+outgoing_connection::outgoing_connection(const asio::any_io_executor& executor,
                                          const outgoing_connection_host& host)
     : m_host(host), m_socket(executor), m_timer(executor)
 {
--- a/libraries/libhttp/outgoing_connection.h
+++ b/libraries/libhttp/outgoing_connection.h
@@ -29,7 +29,8 @@
 /// One connection of a `traffic_client`; carries one transfer at a time.
 class outgoing_connection : public std::enable_shared_from_this<outgoing_connection> {
 public:
-    outgoing_connection(asio::any_io_executor executor, const outgoing_connection_host& host);
+    outgoing_connection(const asio::any_io_executor& executor,
+                        const outgoing_connection_host& host);
 
     /// Opens the connection, then sends the request.
     void open(std::uint64_t transfer, outgoing_request request, transfer_handlers handlers);
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -6,6 +6,7 @@
 #include "libpolicy/gate/crash_reports.h"
 #include "libpolicy/gate/gate_answers.h"
 #include "libpolicy/gate/local_upstreams.h"
+#include "libpolicy/gate/run_outcomes.h"
 #include "libpolicy/gate/running_attempts.h"
 #include "libpolicy/ingress/method.h"
 #include "libpolicy/membership/membership.h"
--- a/libraries/libpolicy/gate/running_attempts.h
+++ b/libraries/libpolicy/gate/running_attempts.h
@@ -5,7 +5,6 @@
 #include "libpolicy/refusal.h"
 
 #include <string_view>
-#include <vector>
 
 namespace chivevane {
 
@@ -34,13 +33,6 @@
 /// Gives the slot of a handed-over attempt back and remembers its fate.
 void end_run(node_state& node, context& surroundings, const attempt_id& id, attempt_fate fate);
 
-/// Tells the circuit of the upstream how a run went.
-void note_outcome(node_state& node, context& surroundings, gate_attempt& attempt,
-                  circuit::run_outcome outcome);
-
-/// The fields that tell ingresses how busy the upstream is; none where they do not ask for it.
-std::vector<http_field> load_fields(const node_state& node, std::string_view endpoint);
-
 /// Looks at the attempts that are due: repeats those on silent connections, ends the late ones.
 void check_due(node_state& node, context& surroundings);
 
--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -5,6 +5,7 @@
 #include "libpolicy/health/health.h"
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/inquiries.h"
+#include "libpolicy/ingress/request_log.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/node_state.h"
 #include "libwire/link_head.h"
@@ -12,7 +13,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <fmt/format.h>
 
 namespace chivevane::ingress {
 
@@ -116,27 +116,6 @@
     return true;
 }
 
-/// Tells the log of an upstream's failure that the caller gets, and why no other was asked.
-void record_failure(const node_state& node, context& surroundings, const found_attempt& about,
-                    std::uint16_t answered)
-{
-    const auto& [request, attempt] = about;
-    const bool may_repeat = request.m_repeatability == routing::repeatability::idempotent;
-    emit(surroundings,
-         record_event{
-             "failure-passed-on",
-             {{"request", std::string{caller_id_of(request)}},
-              {"attempt", to_string(attempt.m_id)},
-              {"upstream", attempt.m_destination.m_upstream.m_endpoint},
-              {"route", request.m_route->m_name},
-              {"status", std::to_string(answered)},
-              {"repeatable", may_repeat ? "yes" : "no"},
-              {"attempts", history_of(request)},
-              {"retries_left", fmt::format("{:.2f}", retries_left(node.m_ingress.m_retry_budget,
-                                                                  request.m_service))}},
-             record_target::timeline_and_log});
-}
-
 void relay(node_state& node, context& surroundings, const found_attempt& about,
            std::optional<response_head> head)
 {
@@ -260,7 +239,7 @@
     }
     if (head.m_status >= 500) {
         note_failure_of_call(node, request, surroundings.m_now);
-        record_failure(node, surroundings, about, head.m_status);
+        record_failure(node, surroundings, request, attempt, head.m_status);
     }
     request.m_answer = begin_answer(request.m_head, head);
     relay(node, surroundings, about, forwardable_response(head));
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -3,9 +3,10 @@
 #include "libpolicy/gate/gate_answers.h"
 #include "libpolicy/gate/patience.h"
 #include "libpolicy/health/health.h"
+#include "libpolicy/ingress/probing.h"
+#include "libpolicy/ingress/request_log.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/node_state.h"
-#include "libpolicy/placement/placement.h"
 #include "libwire/link_head.h"
 
 #include <algorithm>
@@ -21,28 +22,15 @@
 /// Where gates are asked in turn, one that does not take the connection is soon passed over.
 constexpr duration probing_connect_timeout = 150ms;
 
-/// Mean size of a route's answers from which they should not cross data centres. Bytes.
-constexpr double large_answer = 20'000;
-
-/// Part of the reserve that is used: hosts that come and go may count each other late.
-constexpr double reserve_margin = 0.75;
-
-/// Gates that one request asks at most.
-constexpr std::size_t max_gates_asked = 14;
-
-/// Answers up to this size are read whole before they are passed on, so that one that breaks off
-/// can still be replaced by another upstream's. Bytes.
-constexpr std::size_t held_body = 1024 * 1024;
-
-bool is_probing(const context& surroundings)
-{
-    return surroundings.m_settings.m_placement == placement_mode::probing;
-}
 constexpr duration stall_timeout = 10s;
 constexpr duration answer_margin = 5ms; // Lets the gate's refusal, which tells the fate, arrive.
 constexpr std::uint32_t max_extra_attempts = 4;
 constexpr duration reading_lifetime = 10s; // A third of what gates accept.
 
+/// Answers up to this size are read whole before they are passed on, so that one that breaks off
+/// can still be replaced by another upstream's. Bytes.
+constexpr std::size_t held_body = 1024 * 1024;
+
 std::vector<upstream_id> tried_upstreams(const ingress_request& request)
 {
     std::vector<upstream_id> tried;
@@ -149,7 +137,7 @@
 {
     const auto& name = request.m_route->m_name;
     const auto limit =
-        is_probing(surroundings)
+        probing::is_used(surroundings)
             ? suspicious_silence(node.m_ingress.m_latencies, name, request.m_route->m_timeout)
             : silence_limit(node.m_health, request.m_service, name, request.m_route->m_timeout);
     if (limit) {
@@ -191,85 +179,6 @@
     attempt.m_next_inquiry = instant::max();
 }
 
-/// This host's part of the retries over all hosts.
-retry_allotment allotment_of(const node_state& node, const context& surroundings)
-{
-    const auto& limits = surroundings.m_settings.m_retries;
-    if (!is_probing(surroundings)) {
-        return {};
-    }
-    const auto hosts = static_cast<double>(membership::count_live_peers(node.m_membership) + 1);
-    const auto reserve = std::max(1.0, limits.m_reserve * reserve_margin / hosts);
-    return {limits.m_share, reserve, reserve};
-}
-
-/// Whether an attempt may have put load on its upstream. Gates that refused did not.
-std::size_t count_upstreams_reached(const ingress_request& request)
-{
-    return static_cast<std::size_t>(
-        std::count_if(request.m_attempts.begin(), request.m_attempts.end(),
-                      [](const ingress_attempt& attempt) { return attempt.m_reached_upstream; }));
-}
-
-/// `spend_attempt` where gates are asked in turn: a gate that refuses costs no upstream anything.
-bool spend_probing_attempt(node_state& node, const ingress_request& request, const refusal& reason)
-{
-    if (request.m_attempts.size() >= max_gates_asked) {
-        return false;
-    }
-    if (reason.m_outcome == request_outcome::not_run &&
-        !request.m_attempts.back().m_reached_upstream) {
-        return true;
-    }
-    const auto limit = request.m_route->m_attempts + request.m_answer.m_resumptions;
-    const bool may_run_again = reason.m_outcome == request_outcome::not_run ||
-                               request.m_repeatability == routing::repeatability::idempotent;
-    return count_upstreams_reached(request) < limit && may_run_again &&
-           spend_earned_retry(node.m_ingress.m_retry_budget, request.m_service);
-}
-
-/// What placement is to know of each upstream of the service.
-std::vector<placement::option> options_for(const node_state& node, const context& surroundings,
-                                           const ingress_request& request)
-{
-    std::vector<placement::option> options;
-    for (const auto& candidate : routing::find_upstreams(surroundings, node.m_membership,
-                                                         node.m_configuration, request.m_service)) {
-        placement::option each;
-        each.m_choice = candidate.m_choice;
-        each.m_slots = candidate.m_slots;
-        each.m_is_near = candidate.m_is_near;
-        each.m_record =
-            placement::record_of(node.m_ingress.m_destinations, candidate.m_choice.m_upstream);
-        for (const auto& attempt : request.m_attempts) {
-            if (attempt.m_destination.m_upstream == candidate.m_choice.m_upstream) {
-                each.m_was_tried = true;
-                each.m_has_run_it = each.m_has_run_it || attempt.m_reached_upstream;
-                each.m_has_waited = each.m_has_waited || attempt.m_waiting == link_waiting::allowed;
-                each.m_has_been_insisted =
-                    each.m_has_been_insisted || attempt.m_insistence != link_insistence::none;
-            }
-        }
-        options.push_back(std::move(each));
-    }
-    return options;
-}
-
-std::optional<destination> find_by_probing(node_state& node, context& surroundings,
-                                           const ingress_request& request)
-{
-    const auto options = options_for(node, surroundings, request);
-    const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
-    const auto size = mean_size(node.m_ingress.m_latencies, request.m_route->m_name);
-    const auto decided = placement::decide(
-        options, {refusals, size >= large_answer, surroundings.m_now}, surroundings.m_random);
-    if (!decided) {
-        return std::nullopt;
-    }
-    return destination{options[decided->m_option].m_choice, connection_choice::reuse,
-                       decided->m_waiting, decided->m_insistence};
-}
-
 /// Sends the next attempt, waits for one under way, or gives up.
 void go_on(node_state& node, context& surroundings, ingress_request& request, const refusal& reason)
 {
@@ -292,7 +201,7 @@
 {
     request.m_phase = ingress_phase::awaiting_answer;
     earn_retries(node.m_ingress.m_retry_budget, request.m_service,
-                 allotment_of(node, surroundings));
+                 probing::allotment_of(node, surroundings));
     const auto standing = quarantine::standing_of(node.m_gate.m_quarantine, request.m_fingerprint,
                                                   surroundings.m_now);
     if (standing == quarantine::standing::quarantined) {
@@ -321,8 +230,8 @@
     case quarantine::standing::clear:
         break;
     }
-    if (is_probing(surroundings)) {
-        return find_by_probing(node, surroundings, request);
+    if (probing::is_used(surroundings)) {
+        return probing::find_destination(node, surroundings, request);
     }
     const auto tried = tried_upstreams(request);
     const auto chosen = routing::choose_upstream(
@@ -341,8 +250,7 @@
     attempt.m_destination = target.m_choice;
     attempt.m_waiting = target.m_waiting;
     attempt.m_insistence = target.m_insistence;
-    attempt.m_is_large =
-        mean_size(node.m_ingress.m_latencies, request.m_route->m_name) >= large_answer;
+    attempt.m_is_large = probing::has_large_answers(node, request);
     attempt.m_gate_clock = reading_for(node, surroundings, target.m_choice);
     attempt.m_may_be_copied =
         attempt.m_gate_clock == 0 && request.m_repeatability == routing::repeatability::idempotent;
@@ -355,9 +263,9 @@
                          gate.m_gate_port,
                          head_for(surroundings, request, attempt),
                          target.m_connection,
-                         is_probing(surroundings) ? probing_connect_timeout : connect_timeout,
+                         probing::is_used(surroundings) ? probing_connect_timeout : connect_timeout,
                          stall_timeout};
-    order.m_held_body = is_probing(surroundings) ? held_body : 0;
+    order.m_held_body = probing::is_used(surroundings) ? held_body : 0;
     emit(surroundings, std::move(order));
     node.m_ingress.m_by_transfer[attempt.m_transfer] = request.m_exchange;
     request.m_attempts.push_back(std::move(attempt));
@@ -371,8 +279,8 @@
     if (request.m_deadline <= surroundings.m_now) {
         return false;
     }
-    if (is_probing(surroundings)) {
-        return spend_probing_attempt(node, request, reason);
+    if (probing::is_used(surroundings)) {
+        return probing::spend_attempt(node, request, reason);
     }
     const auto limit =
         request.m_route->m_attempts + request.m_extra_attempts + request.m_answer.m_resumptions;
@@ -418,27 +326,6 @@
     }
 }
 
-/// Tells the log why a request gets no answer of an upstream.
-void record_refusal(const node_state& node, context& surroundings, const ingress_request& request,
-                    const refusal& reason)
-{
-    emit(surroundings,
-         record_event{
-             "request-refused",
-             {{"request", std::string{caller_id_of(request)}},
-              {"number", std::to_string(request.m_number)},
-              {"route", request.m_route->m_name},
-              {"service", request.m_service},
-              {"organisation", request.m_organisation},
-              {"revision", std::to_string(request.m_revision)},
-              {"reason", std::string{to_string(reason.m_kind)}},
-              {"outcome", reason.m_outcome == request_outcome::not_run ? "not-run" : "unknown"},
-              {"attempts", history_of(request)},
-              {"left_ms", std::to_string(to_milliseconds(request.m_deadline - surroundings.m_now))},
-              {"members", std::to_string(membership::count_live_peers(node.m_membership) + 1)}},
-             record_target::timeline_and_log});
-}
-
 void conclude(node_state& node, context& surroundings, ingress_request& request, refusal reason)
 {
     reason.m_outcome = overall_outcome(request);
@@ -497,24 +384,6 @@
     }
 }
 
-std::string_view caller_id_of(const ingress_request& request)
-{
-    return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
-}
-
-std::string history_of(const ingress_request& request)
-{
-    std::string text;
-    for (const auto& attempt : request.m_attempts) {
-        const auto* const fate = !attempt.m_reached_upstream                     ? "gate-refused"
-                                 : attempt.m_outcome == request_outcome::not_run ? "not-run"
-                                                                                 : "may-have-run";
-        text += fmt::format("{}{}:{}", text.empty() ? "" : ",",
-                            attempt.m_destination.m_upstream.m_host, fate);
-    }
-    return text.empty() ? "none" : text;
-}
-
 bool has_live_attempt(const ingress_request& request)
 {
     return std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -5,8 +5,6 @@
 #include "libwire/link_head.h"
 
 #include <optional>
-#include <string>
-#include <string_view>
 
 namespace chivevane {
 
@@ -66,12 +64,6 @@
 /// Notes a failed request that may be a call of the upstream on this host.
 void note_failure_of_call(node_state& node, const ingress_request& request, instant now);
 
-/// The id by which callers and logs know the request; `-` if its caller gave none.
-std::string_view caller_id_of(const ingress_request& request);
-
-/// The attempts of a request for the log: host and fate of each.
-std::string history_of(const ingress_request& request);
-
 /// Whether an answer to any attempt is still awaited.
 bool has_live_attempt(const ingress_request& request);
 
--- /dev/null
+++ b/libraries/libpolicy/ingress/probing.cpp
@@ -0,0 +1,116 @@
+#include "libpolicy/ingress/probing.h"
+
+#include "libpolicy/membership/membership.h"
+#include "libpolicy/node_state.h"
+#include "libpolicy/placement/placement.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace chivevane::ingress::probing {
+
+namespace {
+
+/// Part of the reserve that is used: hosts that come and go may count each other late.
+constexpr double reserve_margin = 0.75;
+
+/// Gates that one request asks at most.
+constexpr std::size_t max_gates_asked = 14;
+
+/// Mean size of a route's answers from which they should not cross data centres. Bytes.
+constexpr double large_answer = 20'000;
+
+/// Attempts that may have put load on their upstreams. Gates that refused did not.
+std::size_t count_upstreams_reached(const ingress_request& request)
+{
+    return static_cast<std::size_t>(
+        std::count_if(request.m_attempts.begin(), request.m_attempts.end(),
+                      [](const ingress_attempt& attempt) { return attempt.m_reached_upstream; }));
+}
+
+/// What placement is to know of each upstream of the service.
+std::vector<placement::option> options_for(const node_state& node, const context& surroundings,
+                                           const ingress_request& request)
+{
+    std::vector<placement::option> options;
+    for (const auto& candidate : routing::find_upstreams(surroundings, node.m_membership,
+                                                         node.m_configuration, request.m_service)) {
+        placement::option each;
+        each.m_choice = candidate.m_choice;
+        each.m_slots = candidate.m_slots;
+        each.m_is_near = candidate.m_is_near;
+        each.m_record =
+            placement::record_of(node.m_ingress.m_destinations, candidate.m_choice.m_upstream);
+        for (const auto& attempt : request.m_attempts) {
+            if (attempt.m_destination.m_upstream == candidate.m_choice.m_upstream) {
+                each.m_was_tried = true;
+                each.m_has_run_it = each.m_has_run_it || attempt.m_reached_upstream;
+                each.m_has_waited = each.m_has_waited || attempt.m_waiting == link_waiting::allowed;
+                each.m_has_been_insisted =
+                    each.m_has_been_insisted || attempt.m_insistence != link_insistence::none;
+            }
+        }
+        options.push_back(std::move(each));
+    }
+    return options;
+}
+
+} // namespace
+
+bool is_used(const context& surroundings)
+{
+    return surroundings.m_settings.m_placement == placement_mode::probing;
+}
+constexpr duration stall_timeout = 10s;
+constexpr duration answer_margin = 5ms; // Lets the gate's refusal, which tells the fate, arrive.
+constexpr std::uint32_t max_extra_attempts = 4;
+constexpr duration reading_lifetime = 10s; // A third of what gates accept.
+
+bool has_large_answers(const node_state& node, const ingress_request& request)
+{
+    return mean_size(node.m_ingress.m_latencies, request.m_route->m_name) >= large_answer;
+}
+
+retry_allotment allotment_of(const node_state& node, const context& surroundings)
+{
+    const auto& limits = surroundings.m_settings.m_retries;
+    if (!is_used(surroundings)) {
+        return {};
+    }
+    const auto hosts = static_cast<double>(membership::count_live_peers(node.m_membership) + 1);
+    const auto reserve = std::max(1.0, limits.m_reserve * reserve_margin / hosts);
+    return {limits.m_share, reserve, reserve};
+}
+
+std::optional<destination> find_destination(node_state& node, context& surroundings,
+                                            const ingress_request& request)
+{
+    const auto options = options_for(node, surroundings, request);
+    const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
+    const auto decided =
+        placement::decide(options, {refusals, has_large_answers(node, request), surroundings.m_now},
+                          surroundings.m_random);
+    if (!decided) {
+        return std::nullopt;
+    }
+    return destination{options[decided->m_option].m_choice, connection_choice::reuse,
+                       decided->m_waiting, decided->m_insistence};
+}
+
+bool spend_attempt(node_state& node, const ingress_request& request, const refusal& reason)
+{
+    if (request.m_attempts.size() >= max_gates_asked) {
+        return false;
+    }
+    if (reason.m_outcome == request_outcome::not_run &&
+        !request.m_attempts.back().m_reached_upstream) {
+        return true;
+    }
+    const auto limit = request.m_route->m_attempts + request.m_answer.m_resumptions;
+    const bool may_run_again = reason.m_outcome == request_outcome::not_run ||
+                               request.m_repeatability == routing::repeatability::idempotent;
+    return count_upstreams_reached(request) < limit && may_run_again &&
+           spend_earned_retry(node.m_ingress.m_retry_budget, request.m_service);
+}
+
+} // namespace chivevane::ingress::probing
--- /dev/null
+++ b/libraries/libpolicy/ingress/request_log.cpp
@@ -0,0 +1,68 @@
+#include "libpolicy/ingress/request_log.h"
+
+#include "libpolicy/ingress/retry_budget.h"
+#include "libpolicy/membership/membership.h"
+#include "libpolicy/node_state.h"
+
+#include <fmt/format.h>
+
+namespace chivevane::ingress {
+
+std::string_view caller_id_of(const ingress_request& request)
+{
+    return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
+}
+
+std::string history_of(const ingress_request& request)
+{
+    std::string text;
+    for (const auto& attempt : request.m_attempts) {
+        const auto* const fate = !attempt.m_reached_upstream                     ? "gate-refused"
+                                 : attempt.m_outcome == request_outcome::not_run ? "not-run"
+                                                                                 : "may-have-run";
+        text += fmt::format("{}{}:{}", text.empty() ? "" : ",",
+                            attempt.m_destination.m_upstream.m_host, fate);
+    }
+    return text.empty() ? "none" : text;
+}
+
+void record_refusal(const node_state& node, context& surroundings, const ingress_request& request,
+                    const refusal& reason)
+{
+    emit(surroundings,
+         record_event{
+             "request-refused",
+             {{"request", std::string{caller_id_of(request)}},
+              {"number", std::to_string(request.m_number)},
+              {"route", request.m_route->m_name},
+              {"service", request.m_service},
+              {"organisation", request.m_organisation},
+              {"revision", std::to_string(request.m_revision)},
+              {"reason", std::string{to_string(reason.m_kind)}},
+              {"outcome", reason.m_outcome == request_outcome::not_run ? "not-run" : "unknown"},
+              {"attempts", history_of(request)},
+              {"left_ms", std::to_string(to_milliseconds(request.m_deadline - surroundings.m_now))},
+              {"members", std::to_string(membership::count_live_peers(node.m_membership) + 1)}},
+             record_target::timeline_and_log});
+}
+
+void record_failure(const node_state& node, context& surroundings, const ingress_request& request,
+                    const ingress_attempt& attempt, std::uint16_t answered)
+{
+    const bool may_repeat = request.m_repeatability == routing::repeatability::idempotent;
+    emit(surroundings,
+         record_event{
+             "failure-passed-on",
+             {{"request", std::string{caller_id_of(request)}},
+              {"attempt", to_string(attempt.m_id)},
+              {"upstream", attempt.m_destination.m_upstream.m_endpoint},
+              {"route", request.m_route->m_name},
+              {"status", std::to_string(answered)},
+              {"repeatable", may_repeat ? "yes" : "no"},
+              {"attempts", history_of(request)},
+              {"retries_left", fmt::format("{:.2f}", retries_left(node.m_ingress.m_retry_budget,
+                                                                  request.m_service))}},
+             record_target::timeline_and_log});
+}
+
+} // namespace chivevane::ingress
--- a/services/chivevaned/main.cpp
+++ b/services/chivevaned/main.cpp
@@ -2,6 +2,7 @@
 
 #include "libhost/run_daemon.h"
 
+#include <cstdio>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
@@ -12,7 +13,9 @@
 {
     gflags::SetUsageMessage("runs one host of the fleet; --settings=FILE is needed");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
+    FLAGS_log_prefix = false; // Each line is one event in key=value form.
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     google::InitGoogleLogging(argv[0]);
     if (FLAGS_check_settings) {
         return chivevane::check_settings(FLAGS_settings);
