--- a/libraries/libcontrol/session.cpp
+++ b/libraries/libcontrol/session.cpp
@@ -91,7 +91,7 @@
         "{} (HTTP {})", title.empty() ? "The host refused the request." : title, answer.m_status);
     append_faults(message, body);
     return {kind_of(answer.m_status, text_field(body, "outcome")), std::move(message),
-            detail.empty() ? "See docs/OPERATING.md for this status." : detail};
+            detail.empty() ? "See docs/OPERATIONS.md for this status." : detail};
 }
 
 } // namespace chivevane::control
--- a/utilities/chivevanectl/main.cpp
+++ b/utilities/chivevanectl/main.cpp
@@ -1,4 +1,4 @@
-// chivevanectl: the operators' command line. See docs/OPERATING.md.
+// chivevanectl: the operators' command line. See docs/OPERATIONS.md.
 
 #include "libbase/digest.h"
 #include "libbase/read_file.h"
