libpolicy: Let hosts that start find each other and their rules at once

Hosts read their rules within a second at random, registered with rounds of a second, and met four others a round.

Change: a host that is not registered makes its store calls when they are due; `timing.contacts` and `timing.start_spread_ms` say how many hosts one without peers contacts and how its first reads are spread.

--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -25,9 +25,6 @@
 /// Age of the last agreement with a peer from which a host turns to the store itself.
 constexpr duration lonely_after = 1500ms;
 
-/// Spreads the first reads of hosts that start together.
-constexpr duration start_jitter = 1s;
-
 constexpr duration first_backoff = 500ms;
 constexpr duration longest_backoff = 8s;
 
@@ -126,7 +123,8 @@
 {
     const double fraction = uniform_fraction(surroundings.m_random);
     state.m_next_store_call =
-        surroundings.m_now + from_seconds(to_seconds(start_jitter) * fraction);
+        surroundings.m_now +
+        from_seconds(to_seconds(surroundings.m_settings.m_timing.m_start_spread) * fraction);
 }
 
 void advance_reading(configuration_state& state, context& surroundings,
--- a/libraries/libpolicy/host_settings.h
+++ b/libraries/libpolicy/host_settings.h
@@ -34,6 +34,8 @@
     std::uint32_t m_receivers = 3;           ///< Hosts told in a round.
     std::uint32_t m_probes = 4;              ///< Hosts probed in a round.
     std::uint32_t m_crash_report_sends = 10; ///< Copies of a report that may get lost.
+    std::uint32_t m_contacts = 4;            ///< Hosts that one without peers contacts at once.
+    duration m_start_spread = 1s;            ///< Over which hosts that start together read rules.
 
     bool operator==(const fleet_timing&) const = default;
 };
--- a/libraries/libpolicy/membership/gossip_round.cpp
+++ b/libraries/libpolicy/membership/gossip_round.cpp
@@ -18,9 +18,6 @@
 /// Most probes of one round: bounds the cost while many members do not answer.
 constexpr std::size_t probe_limit = 16;
 
-/// Addresses tried in one round while no peer is alive.
-constexpr std::size_t candidates_per_round = 4;
-
 /// A peer counts as heard directly if a datagram came from it within this time.
 constexpr duration hearing_window = 10s;
 
@@ -212,7 +209,7 @@
         }
     }
     const auto& self = state.m_members.at(state.m_self.m_identity.m_name);
-    for (std::size_t sent = 0; sent < candidates_per_round && !candidates.empty(); ++sent) {
+    for (std::size_t sent = 0; sent < settings.m_timing.m_contacts && !candidates.empty(); ++sent) {
         const auto pick = surroundings.m_random(static_cast<std::uint32_t>(candidates.size()));
         send_account(surroundings, self, candidates[pick]);
         candidates.erase(candidates.begin() + pick);
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -368,6 +368,10 @@
 void on_timer(membership_state& state, context& surroundings)
 {
     push_changes(state, surroundings);
+    if (!state.m_registration.m_is_written) {
+        // A host that nobody knows yet does not wait for its next round.
+        advance_registration(state.m_registration, surroundings, count_live_peers(state));
+    }
     if (surroundings.m_now < state.m_next_heartbeat) {
         return;
     }
@@ -442,7 +446,13 @@
     if (state.m_has_urgent_change) {
         return instant{};
     }
-    const auto registration_due = state.m_next_heartbeat; // Store calls are made with the rounds.
+    const auto& registration = state.m_registration;
+    const bool is_calling =
+        registration.m_step != registration_step::idle || registration.m_is_over;
+    // Once this host is registered, store calls are made with the rounds.
+    const auto registration_due = registration.m_is_written || is_calling
+                                      ? state.m_next_heartbeat
+                                      : std::min(state.m_next_heartbeat, registration.m_next_call);
     return state.m_has_load_change
                ? std::min(registration_due, std::max(state.m_next_load_push, instant{}))
                : registration_due;
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -19,6 +19,7 @@
 constexpr value_bounds<std::int64_t> shutdown_bounds_ms{0, 3'600'000};
 constexpr value_bounds<std::int64_t> watch_bounds_ms{100, 30'000};
 constexpr value_bounds<std::int64_t> round_bounds_ms{100, 10'000};
+constexpr value_bounds<std::int64_t> spread_bounds_ms{0, 10'000};
 constexpr value_bounds<std::int64_t> receiver_bounds{1, 3};
 constexpr value_bounds<std::int64_t> probe_bounds{1, 64};
 constexpr value_bounds<double> share_bounds{0, 1};
@@ -219,7 +220,9 @@
 void read_timing(const yaml_place& place, host_settings& policy, fault_list& faults)
 {
     yaml_map_reader reader{
-        place, {"round_ms", "receivers", "probes", "crash_report_sends"}, faults};
+        place,
+        {"round_ms", "receivers", "probes", "crash_report_sends", "contacts", "start_spread_ms"},
+        faults};
     auto& timing = policy.m_timing;
     timing.m_round = std::chrono::milliseconds{
         reader.integer_or("round_ms", round_bounds_ms, to_milliseconds(timing.m_round))};
@@ -227,6 +230,10 @@
         reader.integer_or("receivers", receiver_bounds, timing.m_receivers));
     timing.m_probes =
         static_cast<std::uint32_t>(reader.integer_or("probes", probe_bounds, timing.m_probes));
+    timing.m_contacts =
+        static_cast<std::uint32_t>(reader.integer_or("contacts", probe_bounds, timing.m_contacts));
+    timing.m_start_spread = std::chrono::milliseconds{reader.integer_or(
+        "start_spread_ms", spread_bounds_ms, to_milliseconds(timing.m_start_spread))};
     timing.m_crash_report_sends = static_cast<std::uint32_t>(
         reader.integer_or("crash_report_sends", probe_bounds, timing.m_crash_report_sends));
 }
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -142,7 +142,8 @@
 {
     const auto text = with_line("shared_secret", "shared_secret_key: fleet/secret") +
                       "placement: probing\nstale_rules: serve\nrates: metered\nservice: tides\n"
-                      "timing: {round_ms: 1000, receivers: 2, probes: 1, crash_report_sends: 2}\n"
+                      "timing: {round_ms: 1000, receivers: 2, probes: 1, crash_report_sends: 2, "
+                      "contacts: 64, start_spread_ms: 200}\n"
                       "retries: {share: 0.18, reserve: 62}\nshutdown_notice_ms: 3000\n"
                       "watch_timeout_ms: 8000\n";
     const auto parsed = parse_settings(text, read_file);
@@ -154,7 +155,7 @@
     BOOST_TEST((policy.m_stale_rules == stale_rules::serve));
     BOOST_TEST((policy.m_rate_mode == rate_mode::metered));
     BOOST_TEST(policy.m_service == "tides");
-    BOOST_TEST((policy.m_timing == fleet_timing{1s, 2, 1, 2}));
+    BOOST_TEST((policy.m_timing == fleet_timing{1s, 2, 1, 2, 64, 200ms}));
     BOOST_TEST(policy.m_retries.m_share == 0.18);
     BOOST_TEST((policy.m_shutdown_notice == 3s));
     BOOST_TEST((policy.m_watch_timeout == 8s));
