libhost, libhttp, libpolicy: Split the three largest files

Cause: host_process.cpp, http_client.cpp and membership.cpp had grown over 450 lines with several jobs each; the same reading of the clock stood in six files. Nothing showed that hosts find each other soon after a loss of power.

Change: carry_out_effects, log_limit, caller_limits_in_force, curl_transfer, judgement and libbase/clock are files of their own; no behaviour changes. A test kills 12 and 33 hosts at once and wants them whole within 2 s of their start.

--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -2,10 +2,12 @@
 
 #include "libadmin/answer_admin_request.h"
 #include "libadmin/metrics_text.h"
+#include "libbase/clock.h"
 #include "libbase/digest.h"
 #include "libbase/log_line.h"
 #include "libbase/result.h"
 #include "libdocument/parse_document.h"
+#include "libhost/caller_limits_in_force.h"
 #include "libhost/document_exchange.h"
 #include "libhost/process_usage.h"
 #include "libhost/shared_secret.h"
@@ -22,17 +24,6 @@
 
 namespace {
 
-instant current_time()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
-std::int64_t current_wall_ms()
-{
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
-}
-
 /// The wall clock makes the incarnation grow with every start on the same name.
 node_settings with_incarnation(node_settings settings)
 {
@@ -52,9 +43,6 @@
 constexpr duration longest_flush = 400ms;
 constexpr duration flush_check_interval = 20ms;
 
-/// Lines of the log in one second: more than an operator reads, and little for a small processor.
-constexpr std::uint64_t max_lines_per_second = 200;
-
 std::uint64_t hash_of(const std::string& body)
 {
     return body.empty() ? 0 : stable_hash(body);
@@ -323,22 +311,8 @@
     if (digest == std::exchange(m_limits_digest, digest)) {
         return;
     }
-    const auto defaults = traffic_options(0);
-    caller_limits widest{};
-    for (const auto& [name, held] : m_node.m_configuration.m_documents) {
-        const auto& told = held.m_rules->m_caller_limits;
-        widest = {std::max(widest.m_head_bytes, told.m_head_bytes),
-                  std::max(widest.m_body_bytes, told.m_body_bytes),
-                  std::max(widest.m_head_timeout, told.m_head_timeout),
-                  std::max(widest.m_idle_timeout, told.m_idle_timeout)};
-    }
-    const auto or_default = [](auto told, auto fallback) {
-        return told == decltype(told){} ? fallback : told;
-    };
-    m_caller_server.set_limits({or_default(widest.m_head_bytes, defaults.m_limits.m_max_head_size),
-                                or_default(widest.m_body_bytes, defaults.m_limits.m_max_body_size)},
-                               or_default(widest.m_head_timeout, defaults.m_head_timeout),
-                               or_default(widest.m_idle_timeout, defaults.m_idle_timeout));
+    apply_caller_limits(m_caller_server, traffic_options(0),
+                        widest_caller_limits(m_node.m_configuration));
 }
 
 /// News of a transfer that was cancelled while the news waited in the queue.
@@ -378,131 +352,6 @@
     });
 }
 
-void host_process::carry_out_all(const effect_list& effects)
-{
-    for (const auto& item : effects) {
-        if (m_is_stopped) {
-            return;
-        }
-        std::visit([this](const auto& order) { carry_out(order); }, item);
-    }
-}
-
-void host_process::carry_out(const respond& order)
-{
-    if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
-        auto& held = node.mapped();
-        auto head = held.m_server == &m_caller_server
-                        ? m_hooks.m_write_caller_answer(held.m_request, order.m_head)
-                        : order.m_head;
-        held.m_server->respond(order.m_exchange, head, order.m_body);
-        count_answer(held, head.m_status);
-    }
-}
-
-void host_process::carry_out(const start_transfer& order)
-{
-    if (order.m_peer == transfer_peer::host) {
-        m_transfers.start(order);
-        return;
-    }
-    m_upstream_requests[order.m_transfer] = order.m_head;
-    auto translated = order;
-    translated.m_head = m_hooks.m_write_upstream_request(order.m_head);
-    m_transfers.start(translated);
-}
-
-void host_process::carry_out(const cancel_transfer& order)
-{
-    m_upstream_requests.erase(order.m_transfer);
-    m_transfers.cancel(order);
-}
-
-void host_process::carry_out(const relay_transfer& order)
-{
-    const auto held = m_exchanges.find(order.m_exchange);
-    if (held == m_exchanges.end() || !order.m_head) {
-        m_transfers.relay(order);
-        return;
-    }
-    auto translated = order;
-    if (held->second.m_server == &m_caller_server) {
-        translated.m_head = m_hooks.m_write_caller_answer(held->second.m_request, *order.m_head);
-    }
-    held->second.m_status = translated.m_head->m_status;
-    m_transfers.relay(translated);
-}
-
-void host_process::carry_out(const finish_exchange& order)
-{
-    if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
-        node.mapped().m_server->finish(order.m_exchange);
-        count_answer(node.mapped(), node.mapped().m_status);
-    }
-}
-
-void host_process::carry_out(const abort_exchange& order)
-{
-    if (const auto node = m_exchanges.extract(order.m_exchange); !node.empty()) {
-        node.mapped().m_server->abort(order.m_exchange);
-        if (node.mapped().m_server == &m_caller_server) {
-            ++m_counters.m_caller_aborts;
-        }
-    }
-}
-
-void host_process::carry_out(const send_datagram& order)
-{
-    m_control->send(order.m_to, order.m_message, stamp());
-}
-
-void host_process::carry_out(const call_store& order)
-{
-    ++m_store_calls;
-    m_store(order.m_operation, [this, id = order.m_operation_id,
-                                purpose = order.m_purpose](store_outcome outcome) {
-        m_counters.m_store_failures += std::holds_alternative<store_failure>(outcome) ? 1 : 0;
-        enqueue(store_response{id, purpose, std::move(outcome)});
-    });
-}
-
-void host_process::carry_out(const fetch_document& order)
-{
-    request_document(m_client, order, m_settings.m_policy.m_shared_secret,
-                     [this](document_fetched answer) { enqueue(std::move(answer)); });
-}
-
-void host_process::carry_out(const record_event& order)
-{
-    timeline_entry entry{stamp(), m_settings.m_policy.m_self.m_name, order.m_name, order.m_fields};
-    if (order.m_target == record_target::timeline_and_log && may_log()) {
-        LOG(INFO) << to_log_text(entry);
-    }
-    append_entry(m_timeline, std::move(entry));
-}
-
-/// Bounds the lines of one second; the first line after tells how many were left out.
-bool host_process::may_log()
-{
-    const auto now = current_time();
-    if (now - m_log_second >= duration{1s}) {
-        if (m_lines_left_out > 0) {
-            write_log(log_line{"log-lines-left-out"}
-                          .add("host", m_settings.m_policy.m_self.m_name)
-                          .add("count", m_lines_left_out));
-        }
-        m_log_second = now;
-        m_lines_in_second = 0;
-        m_lines_left_out = 0;
-    }
-    if (m_lines_in_second >= max_lines_per_second) {
-        ++m_lines_left_out;
-        return false;
-    }
-    ++m_lines_in_second;
-    return true;
-}
-
 void host_process::carry_out(const stop_process&)
 {
     if (std::exchange(m_is_stopped, true)) {
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -4,6 +4,7 @@
 #include "libadmin/timeline.h"
 #include "libhost/control_socket.h"
 #include "libhost/exchange_table.h"
+#include "libhost/log_limit.h"
 #include "libhost/platform_hooks.h"
 #include "libhost/transfer_runner.h"
 #include "libhttp/http_client.h"
@@ -77,9 +78,6 @@
     void carry_out(const record_event& order);
     void carry_out(const stop_process& order);
 
-    /// Whether one more line may go to the log now.
-    bool may_log();
-
     /// Counts the end of an answer to a caller.
     void count_answer(const held_exchange& ended, std::uint16_t http_status);
     host_counters current_counters() const;
@@ -90,9 +88,7 @@
     node_state m_node;
     timeline m_timeline;
     host_counters m_counters; ///< What is counted here; see `current_counters`.
-    instant m_log_second;     ///< When the count of `m_lines_in_second` began.
-    std::uint64_t m_lines_in_second = 0;
-    std::uint64_t m_lines_left_out = 0;
+    log_limit m_log_limit;
     hybrid_time m_clock; ///< Last reading of the hybrid clock.
     exchange_table m_exchanges;
     exchange_id m_last_exchange = 0;
--- /dev/null
+++ b/libraries/libhttp/curl_transfer.cpp
@@ -0,0 +1,191 @@
+#include "libhttp/curl_transfer.h"
+
+#include "libbase/clock.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <fmt/format.h>
+#include <string>
+#include <string_view>
+
+namespace chivevane {
+
+namespace {
+
+/// Idle connections are closed well before the other side's idle timeout of 75 s, so that a request
+/// seldom meets a connection that is being closed.
+constexpr long max_idle_connection_age_s = 20;
+
+/// Takes the status from `HTTP/1.1 200 OK`; 0 if the line is another.
+std::uint16_t parse_status(std::string_view line)
+{
+    std::uint16_t status = 0;
+    if (line.starts_with("HTTP/") && line.size() >= 12) {
+        std::from_chars(line.data() + 9, line.data() + 12, status);
+    }
+    return status;
+}
+
+http_field parse_field(std::string_view line)
+{
+    const auto colon = line.find(':');
+    const auto value_start = line.find_first_not_of(" \t", colon + 1);
+    const auto value =
+        value_start == std::string_view::npos ? std::string_view{} : line.substr(value_start);
+    const auto value_end = value.find_last_not_of(" \t");
+    return {std::string{line.substr(0, colon)}, std::string{value.substr(0, value_end + 1)}};
+}
+
+/// libcurl reports the head line by line, and that of every interim response as well.
+std::size_t on_header_line(const char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& item = *static_cast<curl_transfer*>(user);
+    std::string_view line{data, size * count};
+    line = line.substr(0, line.find_last_not_of("\r\n") + 1);
+    if (const auto status = parse_status(line); status != 0) {
+        item.m_head = {status, {}};
+    }
+    else if (!line.empty() && !item.m_has_head && line.find(':') != std::string_view::npos) {
+        item.m_head.m_fields.push_back(parse_field(line));
+    }
+    else if (line.empty() && item.m_head.m_status >= 200 && !item.m_has_head) {
+        item.m_has_head = true;
+        item.m_last_progress = current_time();
+        item.m_handlers.m_on_head(item.m_head);
+    }
+    return size * count;
+}
+
+std::size_t on_body_part(const char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& item = *static_cast<curl_transfer*>(user);
+    if (item.m_handlers.m_on_body({data, size * count}) == flow::pause) {
+        item.m_is_paused = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    item.m_last_progress = current_time();
+    return size * count;
+}
+
+std::size_t read_request_body(char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& item = *static_cast<curl_transfer*>(user);
+    const auto& body = *item.m_request.m_body;
+    const auto length = std::min(size * count, body.size() - item.m_sent);
+    body.copy(data, length, item.m_sent);
+    item.m_sent += length;
+    return length;
+}
+
+/// libcurl sends a request again by itself when a reused connection fails. The request may have run
+/// by then, so only the first time is allowed.
+int allow_first_sending(void* user, char*, char*, int, int)
+{
+    auto& item = *static_cast<curl_transfer*>(user);
+    return ++item.m_times_sent == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+/// Replaces fields that libcurl would add by itself.
+curl_list make_field_list(const request_head& head)
+{
+    curl_slist* list = nullptr;
+    for (const auto& field : head.m_fields) {
+        const auto separator = field.m_value.empty() ? ";" : ": ";
+        const auto line = field.m_name + separator + field.m_value;
+        list = curl_slist_append(list, line.c_str());
+    }
+    for (const std::string_view name : {"Accept", "User-Agent", "Content-Type", "Expect"}) {
+        if (!find_field(head.m_fields, name)) {
+            list = curl_slist_append(list, fmt::format("{}:", name).c_str());
+        }
+    }
+    return curl_list{list};
+}
+
+template <typename Value>
+void set_option(const curl_transfer& item, CURLoption option, Value value)
+{
+    [[maybe_unused]] const auto code = curl_easy_setopt(item.m_easy.get(), option, value);
+    assert(code == CURLE_OK);
+}
+
+void set_body_options(curl_transfer& item)
+{
+    const auto& method = item.m_request.m_head.m_method;
+    const auto size = item.m_request.m_body ? item.m_request.m_body->size() : 0;
+    if (method == "HEAD") {
+        set_option(item, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (size > 0 || method == "POST" || method == "PUT" || method == "PATCH") {
+        // Without a seek function libcurl cannot rewind the body behind our back.
+        set_option(item, CURLOPT_POST, 1L);
+        set_option(item, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(size));
+        set_option(item, CURLOPT_READFUNCTION, &read_request_body);
+        set_option(item, CURLOPT_READDATA, static_cast<void*>(&item));
+    }
+    set_option(item, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void set_options(curl_transfer& item)
+{
+    const auto& request = item.m_request;
+    const bool is_ipv6 = request.m_ip.find(':') != std::string::npos;
+    const auto url = is_ipv6 ? fmt::format("http://[{}]:{}/", request.m_ip, request.m_port)
+                             : fmt::format("http://{}:{}/", request.m_ip, request.m_port);
+    set_option(item, CURLOPT_URL, url.c_str());
+    set_option(item, CURLOPT_REQUEST_TARGET, request.m_head.m_target.c_str());
+    set_option(item, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    set_option(item, CURLOPT_PROXY, "");
+    set_option(item, CURLOPT_NOSIGNAL, 1L);
+    set_option(item, CURLOPT_CONNECTTIMEOUT_MS, to_milliseconds(request.m_connect_timeout));
+    set_option(item, CURLOPT_TIMEOUT_MS, to_milliseconds(request.m_total_timeout));
+    set_option(item, CURLOPT_FRESH_CONNECT,
+               request.m_connection == connection_choice::fresh ? 1L : 0L);
+    set_option(item, CURLOPT_MAXAGE_CONN, max_idle_connection_age_s);
+    set_option(item, CURLOPT_HTTPHEADER, item.m_fields.get());
+    set_option(item, CURLOPT_HEADERFUNCTION, &on_header_line);
+    set_option(item, CURLOPT_HEADERDATA, static_cast<void*>(&item));
+    set_option(item, CURLOPT_WRITEFUNCTION, &on_body_part);
+    set_option(item, CURLOPT_WRITEDATA, static_cast<void*>(&item));
+    set_option(item, CURLOPT_PREREQFUNCTION, &allow_first_sending);
+    set_option(item, CURLOPT_PREREQDATA, static_cast<void*>(&item));
+    set_option(item, CURLOPT_PRIVATE, static_cast<void*>(&item));
+    set_body_options(item);
+}
+
+} // namespace
+
+std::unique_ptr<curl_transfer> make_curl_transfer(std::uint64_t id, outgoing_request request,
+                                                  transfer_handlers handlers)
+{
+    auto item = std::make_unique<curl_transfer>();
+    item->m_id = id;
+    item->m_request = std::move(request);
+    item->m_handlers = std::move(handlers);
+    item->m_easy.reset(curl_easy_init());
+    item->m_fields = make_field_list(item->m_request.m_head);
+    set_options(*item);
+    return item;
+}
+
+const curl_transfer& transfer_of(CURL* easy)
+{
+    void* pointer = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &pointer);
+    return *static_cast<const curl_transfer*>(pointer);
+}
+
+transfer_end end_of(const curl_transfer& item, CURLcode code)
+{
+    if (code == CURLE_OK) {
+        return transfer_end::complete;
+    }
+    if (item.m_times_sent == 0) {
+        return transfer_end::connect_failed;
+    }
+    return item.m_has_head ? transfer_end::truncated : transfer_end::broken;
+}
+
+} // namespace chivevane
--- a/libraries/libhttp/outgoing_connection.cpp
+++ b/libraries/libhttp/outgoing_connection.cpp
@@ -1,5 +1,6 @@
 #include "libhttp/outgoing_connection.h"
 
+#include "libbase/clock.h"
 #include "libhttp/message_text.h"
 #include "libhttp/tcp_options.h"
 
@@ -22,11 +23,6 @@
 /// Use of an idle connection whose other side does not tell its timeout.
 constexpr duration default_keep_alive = 20s;
 
-instant current_time()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 /// Seconds in the `timeout` parameter of a Keep-Alive field; empty if there is none.
 std::optional<std::chrono::seconds> keep_alive_of(const response_head& head)
 {
--- a/libraries/libhttp/traffic_client.cpp
+++ b/libraries/libhttp/traffic_client.cpp
@@ -1,5 +1,6 @@
 #include "libhttp/traffic_client.h"
 
+#include "libbase/clock.h"
 #include "libhttp/outgoing_connection.h"
 
 #include <asio/post.hpp>
@@ -20,11 +21,6 @@
 /// Time between two looks for idle connections that are past their use.
 constexpr duration sweep_interval = 5s;
 
-instant current_time()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 class traffic_client::implementation : public std::enable_shared_from_this<implementation> {
--- a/libraries/libhttp/traffic_connection.cpp
+++ b/libraries/libhttp/traffic_connection.cpp
@@ -1,5 +1,6 @@
 #include "libhttp/traffic_connection.h"
 
+#include "libbase/clock.h"
 #include "libhttp/traffic_server.h"
 
 #include <algorithm>
@@ -18,11 +19,6 @@
 /// Time for the other side to read the last answer before the connection is cut.
 constexpr duration linger_timeout = 1s;
 
-instant current_time()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 bool is_safe_method(std::string_view method)
 {
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
--- a/libraries/libload/load_generator.cpp
+++ b/libraries/libload/load_generator.cpp
@@ -1,5 +1,7 @@
 #include "libload/load_generator.h"
 
+#include "libbase/clock.h"
+
 #include <charconv>
 #include <cmath>
 #include <fmt/format.h>
@@ -18,11 +20,6 @@
     std::string m_body;
 };
 
-instant current_time()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 std::string endpoint_in(std::string_view body)
 {
     constexpr std::string_view mark = "endpoint=";
--- /dev/null
+++ b/libraries/libpolicy/membership/judgement.cpp
@@ -0,0 +1,83 @@
+#include "libpolicy/membership/judgement.h"
+
+#include "libpolicy/membership/timing.h"
+
+#include <algorithm>
+
+namespace chivevane::membership {
+
+namespace {
+
+std::string_view to_string(member_status status)
+{
+    switch (status) {
+    case member_status::alive:
+        return "alive";
+    case member_status::suspect:
+        return "suspect";
+    case member_status::leaving:
+        return "leaving";
+    case member_status::dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+/// The status that follows from the age of the latest round and the member's own word.
+member_status status_at(const member& peer, const context& surroundings, std::uint32_t views)
+{
+    // The age in rounds of the ordinary length.
+    const auto since = surroundings.m_now - peer.m_heard_at;
+    const auto age = from_seconds(to_seconds(since) * to_seconds(round_interval) /
+                                  to_seconds(surroundings.m_settings.m_timing.m_round)) /
+                     views;
+    if (age > death_timeout) {
+        return member_status::dead;
+    }
+    if (peer.m_latest.m_status == member_status::leaving) {
+        return member_status::leaving;
+    }
+    return age > suspect_timeout || !peer.m_is_confirmed ? member_status::suspect
+                                                         : member_status::alive;
+}
+
+} // namespace
+
+void record_status(context& surroundings, const member& peer, std::string_view status)
+{
+    emit(surroundings,
+         record_event{"member-status",
+                      {{"host", peer.m_latest.m_identity.m_name},
+                       {"incarnation", std::to_string(peer.m_latest.m_identity.m_incarnation)},
+                       {"status", std::string{status}}},
+                      record_target::timeline_and_log});
+}
+
+void judge(const membership_state& state, context& surroundings, member& peer)
+{
+    const auto status = status_at(peer, surroundings, state.m_views);
+    if (status == peer.m_status) {
+        return;
+    }
+    const bool is_transient =
+        status == member_status::suspect || peer.m_status == member_status::suspect;
+    if (!is_transient || status == member_status::dead) {
+        record_status(surroundings, peer, to_string(status));
+    }
+    peer.m_status = status;
+}
+
+void note_round(const membership_state& state, context& surroundings, member& peer,
+                std::uint32_t counter, std::uint32_t documents, duration age)
+{
+    if (counter <= peer.m_counter) {
+        return;
+    }
+    peer.m_counter = counter;
+    peer.m_documents = documents;
+    peer.m_heard_at = std::max(peer.m_heard_at, surroundings.m_now - age);
+    peer.m_is_confirmed = true;
+    judge(state, surroundings, peer);
+}
+
+} // namespace chivevane::membership
--- a/tests/libpolicy/membership_test.cpp
+++ b/tests/libpolicy/membership_test.cpp
@@ -166,6 +166,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(hosts_that_all_lose_power_find_each_other_within_two_seconds)
+{
+    for (const std::size_t count : {12, 33}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            fleet hosts{count, seed, fleet::seeds::none};
+            for (auto& each : hosts.m_hosts) {
+                each.m_settings.m_timing.m_contacts = 64;
+                each.m_settings.m_timing.m_start_spread = 200ms;
+            }
+            hosts.start_all();
+            const auto began = hosts.m_now;
+            BOOST_TEST_REQUIRE(hosts.run_until([&] { return hosts.is_whole(); }, 15s));
+            BOOST_TEST_MESSAGE(count << " hosts, first start: " << to_seconds(hosts.m_now - began)
+                                     << " s");
+            hosts.run_for(15s); // Until all are registered.
+            for (std::size_t index = 0; index < count; ++index) {
+                hosts.kill(index); // Nobody leaves; the entries stay in the store.
+            }
+            hosts.run_for(100ms);
+            hosts.start_all();
+            BOOST_TEST(hosts.run_until([&] { return hosts.is_whole(); }, 2s));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_upstream_is_known_within_three_seconds_also_under_loss)
 {
     auto hosts = whole_fleet(34, 10);
