libpolicy: Let settings say by how much a rate may be exceeded

Cause: a meter let every organisation start five requests beyond its burst and a host without a meter two, both constants, so that a small limit was exceeded unasked. Change: `rate_slack`, 0 by default. A meter uses a quarter of it; without slack the limit is kept to the request. Before: 5 requests over, whatever the limit. After: metering/without_slack... plays a flood of ten times the rate with the meter's death and finds no more than rate and burst.

--- a/libraries/libpolicy/host_settings.h
+++ b/libraries/libpolicy/host_settings.h
@@ -48,6 +48,14 @@
     bool operator==(const retry_limits&) const = default;
 };
 
+/// What a cold upstream survives in any one second, given the rate that a document tells.
+struct cold_tolerance {
+    double m_factor = 1.4; ///< Times the rate.
+    double m_slack = 0;    ///< Requests more.
+
+    bool operator==(const cold_tolerance&) const = default;
+};
+
 /// The settings that decisions depend on. The shell's own settings are elsewhere.
 struct host_settings {
     host_identity m_self;
@@ -66,6 +74,9 @@
     rate_mode m_rate_mode = rate_mode::exact;
     fleet_timing m_timing;
     retry_limits m_retries;
+    /// Requests of one organisation that may start beyond its rate and burst; for metered rates.
+    double m_rate_slack = 0;
+    cold_tolerance m_cold_tolerance;
 };
 
 } // namespace chivevane
--- a/libraries/libpolicy/limits/metering.cpp
+++ b/libraries/libpolicy/limits/metering.cpp
@@ -24,11 +24,12 @@
 /// A meter that begins knows nothing of the requests just before, so it gives less than the burst.
 constexpr double first_fill = 0.4;
 
-/// Requests beyond the burst that a meter lets through: bursts of callers that keep to their rate
-/// are not told from those that do not.
-constexpr double tolerance = 5;
+/// Part of the slack that one meter lets through beyond the burst: callers' bursts arrive closer
+/// together than they were sent. The rest is for meters that follow one another.
+constexpr double slack_of_a_meter = 0.25;
 
-constexpr double least_share_burst = 2; ///< Requests that a host lets through without a meter.
+/// Requests that a host without a meter lets through at once, where there is slack at all.
+constexpr double least_share_burst = 2;
 
 void fill(token_bucket& bucket, double rate, double bound, instant now)
 {
@@ -44,12 +45,13 @@
     return from_seconds(rate > 0 ? std::min(missing / rate, longest_wait_s) : longest_wait_s);
 }
 
-metered_account& account_of(metering_state& state, std::string_view organisation, instant now)
+metered_account& account_of(metering_state& state, std::string_view organisation,
+                            double initial_share, instant now)
 {
     auto found = state.m_accounts.find(organisation);
     if (found == state.m_accounts.end()) {
         found = state.m_accounts.emplace(organisation, metered_account{}).first;
-        found->second.m_share = {least_share_burst, now};
+        found->second.m_share = {initial_share, now};
     }
     found->second.m_used_at = now;
     return found->second;
@@ -80,16 +82,28 @@
         rendezvous_owner(organisation, possible_meters(state, surroundings, members))};
 }
 
+/// Requests beyond the burst that a meter lets through.
+double slack_of(const context& surroundings)
+{
+    return surroundings.m_settings.m_rate_slack * slack_of_a_meter;
+}
+
+/// Requests that this host lets through at once without a meter, however small its part is.
+double least_burst_of(const context& surroundings)
+{
+    return surroundings.m_settings.m_rate_slack > 0 ? least_share_burst : 0;
+}
+
 /// Takes a token of the organisation's bucket on this host.
-token_response draw(metering_state& state, const token_request& request, instant now)
+token_response draw(metering_state& state, const token_request& request, double slack, instant now)
 {
     auto found = state.m_meters.find(request.m_organisation);
     if (found == state.m_meters.end()) {
         found = state.m_meters.emplace(request.m_organisation, token_meter{}).first;
-        found->second.m_bucket = {request.m_burst * first_fill + tolerance, now};
+        found->second.m_bucket = {request.m_burst * first_fill + slack, now};
     }
     auto& bucket = found->second.m_bucket;
-    fill(bucket, request.m_rate, request.m_burst + tolerance, now);
+    fill(bucket, request.m_rate, request.m_burst + slack, now);
     bucket.m_tokens -= request.m_unasked;
     if (bucket.m_tokens < 1) {
         const auto wait = to_milliseconds(time_to_token(bucket, request.m_rate));
@@ -169,10 +183,12 @@
                      const pending_token& pending)
 {
     const auto hosts = static_cast<double>(membership::count_live_peers(members) + 1);
-    auto& account = account_of(state, pending.m_request.m_organisation, surroundings.m_now);
+    const auto least_burst = least_burst_of(surroundings);
+    auto& account =
+        account_of(state, pending.m_request.m_organisation, least_burst, surroundings.m_now);
     account.m_unasked += pending.m_request.m_unasked; // The meter may not have heard of them.
     const auto rate = pending.m_limit.m_rate / hosts;
-    fill(account.m_share, rate, std::max(least_share_burst, pending.m_limit.m_burst / hosts),
+    fill(account.m_share, rate, std::max(least_burst, pending.m_limit.m_burst / hosts),
          surroundings.m_now);
     emit(surroundings, record_event{"meter-silent",
                                     {{"organisation", pending.m_request.m_organisation},
@@ -221,7 +237,7 @@
 {
     const auto now = surroundings.m_now;
     sweep(state, now);
-    auto& account = account_of(state, organisation, now);
+    auto& account = account_of(state, organisation, least_burst_of(surroundings), now);
     pending_token pending{ticket,
                           {surroundings.m_settings.m_address, ++state.m_last_id,
                            meter_of(state, surroundings, members, organisation),
@@ -232,7 +248,7 @@
     account.m_unasked = 0;
     if (pending.m_request.m_meter == surroundings.m_settings.m_self.m_name) {
         return verdict_of(surroundings, pending.m_request, pending.m_request.m_meter, {},
-                          draw(state, pending.m_request, now));
+                          draw(state, pending.m_request, slack_of(surroundings), now));
     }
     send_pending(state, pending, surroundings, members);
     state.m_pending.emplace(pending.m_request.m_id, std::move(pending));
@@ -264,7 +280,7 @@
         emit(surroundings, send_datagram{request.m_address, given->m_response});
         return;
     }
-    const auto response = draw(state, request, now);
+    const auto response = draw(state, request, slack_of(surroundings), now);
     state.m_given.push_back({now, sender.m_name, response});
     emit(surroundings, send_datagram{request.m_address, response});
 }
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -23,7 +23,10 @@
 constexpr value_bounds<std::int64_t> receiver_bounds{1, 3};
 constexpr value_bounds<std::int64_t> probe_bounds{1, 64};
 constexpr value_bounds<double> share_bounds{0, 1};
-constexpr value_bounds<double> reserve_bounds{0, 1'000'000}; // attempts
+constexpr value_bounds<double> reserve_bounds{0, 1'000'000};    // attempts
+constexpr value_bounds<double> rate_slack_bounds{0, 1'000'000}; // requests
+constexpr value_bounds<double> cold_factor_bounds{1, 100};
+constexpr value_bounds<double> cold_slack_bounds{0, 1'000'000}; // requests
 constexpr value_bounds<std::int64_t> timeline_bounds{16, 1'000'000};
 constexpr std::size_t min_secret_size = 16; // bytes; shorter ones can be guessed.
 
@@ -246,6 +249,14 @@
         reader.number_or("reserve", reserve_bounds, policy.m_retries.m_reserve);
 }
 
+void read_cold_tolerance(const yaml_place& place, host_settings& policy, fault_list& faults)
+{
+    yaml_map_reader reader{place, {"factor", "slack"}, faults};
+    auto& tolerance = policy.m_cold_tolerance;
+    tolerance.m_factor = reader.number_or("factor", cold_factor_bounds, tolerance.m_factor);
+    tolerance.m_slack = reader.number_or("slack", cold_slack_bounds, tolerance.m_slack);
+}
+
 /// Reads how this fleet works together.
 void read_fleet(yaml_map_reader& reader, host_settings& policy, fault_list& faults)
 {
@@ -262,9 +273,13 @@
     if (reader.has("timing")) {
         read_timing(reader.place_of("timing"), policy, faults);
     }
+    policy.m_rate_slack = reader.number_or("rate_slack", rate_slack_bounds, policy.m_rate_slack);
     if (reader.has("retries")) {
         read_retries(reader.place_of("retries"), policy, faults);
     }
+    if (reader.has("cold_tolerance")) {
+        read_cold_tolerance(reader.place_of("cold_tolerance"), policy, faults);
+    }
 }
 
 node_settings read_settings(const yaml_node& root, const file_reader& read_file, fault_list& faults)
@@ -295,6 +310,8 @@
                             "rates",
                             "timing",
                             "retries",
+                            "cold_tolerance",
+                            "rate_slack",
                             "watch_timeout_ms"},
                            faults};
     read_identity(reader, settings);
--- a/tests/libpolicy/metering_test.cpp
+++ b/tests/libpolicy/metering_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t host_count = 9;
 constexpr rate_limit limit{30, 30};
+constexpr double slack = 20; // requests
 const std::string organisation = "document/parish";
 
 /// One host of the model.
@@ -39,6 +40,7 @@
         for (std::size_t index = 0; index < host_count; ++index) {
             auto host = std::make_unique<metered_host>();
             host->m_settings.m_self = {name_of(index), 1};
+            host->m_settings.m_rate_slack = slack;
             host->m_settings.m_address = {"127.0.0." + std::to_string(index + 1), 7000};
             m_hosts.push_back(std::move(host));
         }
@@ -162,7 +164,7 @@
 /// What the users' rules allow to start within `length`.
 double allowed(duration length)
 {
-    return (limit.m_rate * to_seconds(length) + limit.m_burst) * 1.1 + 20;
+    return (limit.m_rate * to_seconds(length) + limit.m_burst) * 1.1 + slack;
 }
 
 } // namespace
@@ -184,6 +186,19 @@
     BOOST_TEST(static_cast<double>(m_started) >= limit.m_rate * 5);
 }
 
+BOOST_AUTO_TEST_CASE(without_slack_the_limit_is_kept_to_the_request)
+{
+    for (auto& host : m_hosts) {
+        host->m_settings.m_rate_slack = 0;
+    }
+    play(300, 5s);
+    BOOST_TEST(static_cast<double>(m_started) <= limit.m_rate * 5.5 + limit.m_burst);
+    m_dead.insert(meter());
+    const auto started = m_started;
+    play(300, 5s);
+    BOOST_TEST(static_cast<double>(m_started - started) <= limit.m_rate * 5.5 + limit.m_burst);
+}
+
 BOOST_AUTO_TEST_CASE(hosts_that_lost_the_way_to_the_meter_reach_it_by_others)
 {
     for (std::size_t index = 0; index < host_count / 3; ++index) {
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -144,7 +144,8 @@
                       "placement: probing\nstale_rules: serve\nrates: metered\nservice: tides\n"
                       "timing: {round_ms: 1000, receivers: 2, probes: 1, crash_report_sends: 2, "
                       "contacts: 64, start_spread_ms: 200}\n"
-                      "retries: {share: 0.18, reserve: 62}\nshutdown_notice_ms: 3000\n"
+                      "retries: {share: 0.18, reserve: 62}\nrate_slack: 20\n"
+                      "cold_tolerance: {factor: 1.5, slack: 8}\nshutdown_notice_ms: 3000\n"
                       "watch_timeout_ms: 8000\n";
     const auto parsed = parse_settings(text, read_file);
     const auto* const read = std::get_if<node_settings>(&parsed);
@@ -157,10 +158,14 @@
     BOOST_TEST(policy.m_service == "tides");
     BOOST_TEST((policy.m_timing == fleet_timing{1s, 2, 1, 2, 64, 200ms}));
     BOOST_TEST(policy.m_retries.m_share == 0.18);
+    BOOST_TEST(policy.m_rate_slack == 20);
+    BOOST_TEST((policy.m_cold_tolerance == cold_tolerance{1.5, 8}));
     BOOST_TEST((policy.m_shutdown_notice == 3s));
     BOOST_TEST((policy.m_watch_timeout == 8s));
     BOOST_TEST(faults_of(text + "shared_secret: 0123456789abcdef\n").size() == 1U);
     BOOST_TEST(faults_of(valid + "placement: best\n").size() == 1U);
+    BOOST_TEST(faults_of(valid + "rate_slack: -1\n").size() == 1U);
+    BOOST_TEST(faults_of(valid + "cold_tolerance: {factor: 0.5}\n").size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(ports_may_be_given_with_the_address)
