libpolicy: Confirm that busy upstreams are warm by asking their health

Cause: an upstream may become cold unnoticed, so the gate started no more than 1.4 times the cold rate on warm ones as well. Change: of the starts since the upstream was last known to be warm, no second sees more than a cold one survives; once half are used the gate asks its health path, at most three times a second. Documents, checks, diff, settings and the platform's adapter carry path and tolerance. Ruled out: trusting announcements, which come up to seconds late.

--- a/libraries/libdocument/diff_documents.cpp
+++ b/libraries/libdocument/diff_documents.cpp
@@ -139,6 +139,8 @@
                 new_one->m_floor);
         compare(changes, change_subject::service, name, "cold_rate", old_one->m_cold_rate,
                 new_one->m_cold_rate);
+        compare(changes, change_subject::service, name, "health_path", old_one->m_health_path,
+                new_one->m_health_path);
     }
 }
 
--- a/libraries/libdocument/format_document.cpp
+++ b/libraries/libdocument/format_document.cpp
@@ -85,7 +85,11 @@
 {
     const auto cold =
         service.m_cold_rate > 0 ? fmt::format(", cold_rate: {}", service.m_cold_rate) : "";
-    return fmt::format("floor: {}{}", service.m_floor, cold);
+    const auto health =
+        service.m_health_path.empty()
+            ? ""
+            : fmt::format(", health_path: {}", format_scalar(service.m_health_path));
+    return fmt::format("floor: {}{}{}", service.m_floor, cold, health);
 }
 
 std::string format_scalar(const std::string& text)
--- a/libraries/libdocument/parse_document.cpp
+++ b/libraries/libdocument/parse_document.cpp
@@ -3,6 +3,7 @@
 #include "libdocument/read_organisation.h"
 #include "libdocument/read_route.h"
 #include "libdocument/unique_names.h"
+#include "libdocument/url_path.h"
 #include "libdocument/yaml_reader.h"
 
 #include <fmt/format.h>
@@ -20,11 +21,13 @@
 
 service_policy read_service(const yaml_place& place, fault_list& faults)
 {
-    yaml_map_reader reader{place, {"name", "floor", "cold_rate"}, faults};
+    yaml_map_reader reader{place, {"name", "floor", "cold_rate", "health_path"}, faults};
     service_policy service;
     service.m_name = reader.name("name");
     service.m_floor = reader.number_or("floor", floor_bounds, default_floor);
     service.m_cold_rate = reader.number_or("cold_rate", cold_rate_bounds, 0);
+    service.m_health_path = reader.text_or("health_path", "");
+    check_url_path(reader, "health_path", service.m_health_path);
     return service;
 }
 
--- a/libraries/libdocument/read_route.cpp
+++ b/libraries/libdocument/read_route.cpp
@@ -1,5 +1,7 @@
 #include "libdocument/read_route.h"
 
+#include "libdocument/url_path.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -12,20 +14,9 @@
 constexpr value_bounds<std::int64_t> priority_bounds{0, 1'000};
 constexpr value_bounds<std::int64_t> target_bounds_ms{0, 600'000};
 constexpr value_bounds<double> weight_bounds{0, 1'000'000};
-constexpr std::size_t max_path_length = 1'024;
 constexpr std::size_t max_host_length = 259; // a name of 253 characters with a port
 constexpr std::size_t max_method_length = 32;
 
-bool is_path_prefix(std::string_view path)
-{
-    const bool is_visible = std::all_of(path.begin(), path.end(), [](char letter) {
-        return letter > ' ' && letter <= '~' && letter != '?' && letter != '#';
-    });
-    const auto with_end = fmt::format("{}/", path);
-    return path.starts_with('/') && path.size() <= max_path_length && is_visible &&
-           with_end.find("/./") == std::string::npos && with_end.find("/../") == std::string::npos;
-}
-
 bool is_host(std::string_view host)
 {
     return host.size() <= max_host_length && std::all_of(host.begin(), host.end(), [](char letter) {
@@ -67,11 +58,7 @@
                      "Give a name in lower case, with :port if callers send one.");
     }
     entry.m_path_prefix = reader.text("path_prefix");
-    if (!entry.m_path_prefix.empty() && !is_path_prefix(entry.m_path_prefix)) {
-        reader.fault(error_kind::out_of_range, "path_prefix", "the value is no path.",
-                     "Begin with /, escape what is not visible ASCII, and leave out query, "
-                     "fragment, . and .. segments.");
-    }
+    check_url_path(reader, "path_prefix", entry.m_path_prefix);
     entry.m_methods = read_methods(reader, faults);
 }
 
--- a/libraries/libhost/carry_out_effects.cpp
+++ b/libraries/libhost/carry_out_effects.cpp
@@ -38,7 +38,7 @@
         m_transfers.start(order);
         return;
     }
-    m_upstream_requests[order.m_transfer] = order.m_head;
+    m_upstream_requests[order.m_transfer] = {order.m_peer, order.m_head};
     auto translated = order;
     translated.m_head = m_hooks.m_write_upstream_request(order.m_head);
     m_transfers.start(translated);
--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -282,14 +282,21 @@
     auto& answer = std::get<transfer_head>(news);
     if (const auto sent = m_upstream_requests.find(answer.m_transfer);
         sent != m_upstream_requests.end()) {
-        auto translated = m_hooks.m_read_upstream_answer(sent->second, std::move(answer.m_head));
-        // An answer to no request of this host echoes no id of it.
-        answer.m_head =
-            translated ? std::move(*translated) : response_head{502, {{"X-Request-Id", ""}}};
+        answer.m_head = read_upstream_head(sent->second, std::move(answer.m_head));
     }
     enqueue(std::move(answer));
 }
 
+response_head host_process::read_upstream_head(const upstream_request& sent, response_head head)
+{
+    if (sent.m_peer == transfer_peer::upstream_health) {
+        return m_hooks.m_read_health_answer(std::move(head));
+    }
+    // An answer to no request of this host echoes no id of it.
+    return m_hooks.m_read_upstream_answer(sent.m_head, std::move(head))
+        .value_or(response_head{502, {{"X-Request-Id", ""}}});
+}
+
 void host_process::drain()
 {
     m_is_drain_posted = false;
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -25,6 +25,12 @@
 
 namespace chivevane {
 
+/// A request that an upstream has not answered yet, as the reducer gave it.
+struct upstream_request {
+    transfer_peer m_peer = transfer_peer::upstream;
+    request_head m_head;
+};
+
 /// One host's process: turns what happens on its sockets and timers into events, hands them one by
 /// one to `reduce`, and carries out the effects. It decides nothing itself.
 class host_process {
@@ -58,6 +64,7 @@
 
     void enqueue(event_body body);
     void enqueue_news(transfer_news news);
+    response_head read_upstream_head(const upstream_request& sent, response_head head);
     void drain();
     void follow_caller_limits();
     void end_when_written();
@@ -102,8 +109,7 @@
     std::uint64_t m_store_calls = 0;
     traffic_client m_traffic_client;
     transfer_runner m_transfers;
-    std::unordered_map<transfer_id, request_head>
-        m_upstream_requests;                   ///< As the reducer gave them.
+    std::unordered_map<transfer_id, upstream_request> m_upstream_requests;
     std::unique_ptr<control_socket> m_control; ///< Null until the shared secret is known.
     std::uint64_t m_limits_digest = 0;         ///< Of the documents that the limits come from.
     asio::steady_timer m_stop_timer;
--- a/libraries/libhost/platform_hooks.cpp
+++ b/libraries/libhost/platform_hooks.cpp
@@ -42,6 +42,7 @@
     hooks.m_read_upstream_answer = [](const request_head&, response_head head) {
         return std::optional{std::move(head)};
     };
+    hooks.m_read_health_answer = [](response_head head) { return head; };
     hooks.m_read_announcement = read_native_announcement;
     hooks.m_make_store = make_native_store;
     return hooks;
--- a/libraries/libhost/platform_hooks.h
+++ b/libraries/libhost/platform_hooks.h
@@ -43,6 +43,9 @@
     std::function<std::optional<response_head>(const request_head& request, response_head)>
         m_read_upstream_answer;
 
+    /// The head of an upstream's answer to a health check into the program's own fields.
+    std::function<response_head(response_head)> m_read_health_answer;
+
     std::function<announcement_answer(const received_request&)> m_read_announcement;
 
     std::function<store_runner(http_client&, const node_settings&)> m_make_store;
--- a/libraries/libhost/transfer_runner.cpp
+++ b/libraries/libhost/transfer_runner.cpp
@@ -21,7 +21,8 @@
 {
     const auto id = order.m_transfer;
     const auto held = m_exchanges.find(order.m_exchange);
-    if (held == m_exchanges.end()) {
+    const bool has_body = order.m_exchange != 0;
+    if (has_body && held == m_exchanges.end()) {
         // The body went with the caller; without it the request would be another.
         m_transfers[id] = {};
         m_on_news(transfer_ended{id, transfer_end::connect_failed, 0, "the caller has gone"});
@@ -34,7 +35,9 @@
     request.m_connection = order.m_connection;
     request.m_connect_timeout = order.m_connect_timeout;
     request.m_stall_timeout = order.m_stall_timeout;
-    request.m_body = held->second.m_body;
+    if (has_body) {
+        request.m_body = held->second.m_body;
+    }
     m_transfers[id].m_held_limit = order.m_held_body;
     transfer_handlers handlers;
     handlers.m_on_head = [this, id](response_head head) { take_head(id, std::move(head)); };
--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -18,27 +18,44 @@
 /// for bursts, and upstreams that are nearly full answer slowly.
 constexpr double idle_share = 0.75;
 
-/// Starts per second of a warm upstream, relative to a cold one's: it may have become cold
-/// unnoticed, and a cold one must not be given much more.
-constexpr double warm_factor = 1.4;
+/// Part of the starts that an upstream of unknown warmth bears after which its warmth is to be
+/// confirmed: the rest bridges the time that takes.
+constexpr double share_before_confirmation = 0.5;
+
+/// Whether the rate of starts protects the upstream while it is cold.
+bool protects_by_rate(const upstream_admission& upstream)
+{
+    return upstream.m_cold.m_rate > 0;
+}
 
 /// How many attempts run at once. Where it is told what a cold upstream bears, the rate of starts
 /// protects it; otherwise its answers tell.
 std::uint32_t concurrency_of(const upstream_admission& upstream)
 {
-    return upstream.m_cold_rate > 0 ? upstream.m_limit.m_slots : upstream.m_limit.m_limit;
+    return protects_by_rate(upstream) ? upstream.m_limit.m_slots : upstream.m_limit.m_limit;
 }
 
-std::uint32_t starts_per_second(const upstream_admission& upstream)
+/// The bound on the starts of any second: at most `m_limit` of those after `m_since`.
+struct start_bound {
+    std::uint32_t m_limit = 1;
+    instant m_since = instant::min();
+};
+
+start_bound bound_of(const upstream_admission& upstream)
 {
-    const auto factor = upstream.m_announced == upstream_warmth::cold ? 1.0 : warm_factor;
-    return std::max(1U, static_cast<std::uint32_t>(upstream.m_cold_rate * factor));
+    const auto whole = [](double starts) {
+        return std::max(1U, static_cast<std::uint32_t>(starts));
+    };
+    if (upstream.m_announced == upstream_warmth::cold) {
+        return {whole(upstream.m_cold.m_rate)};
+    }
+    return {whole(upstream.m_cold.m_most), upstream.m_confirmed_warm_at};
 }
 
 bool may_start_by_rate(upstream_admission& upstream, instant now)
 {
-    return upstream.m_cold_rate <= 0 ||
-           may_start(upstream.m_starts, starts_per_second(upstream), now);
+    const auto [limit, since] = bound_of(upstream);
+    return !protects_by_rate(upstream) || may_start(upstream.m_starts, limit, since, now);
 }
 
 bool has_room(upstream_admission& upstream, instant now)
@@ -57,14 +74,14 @@
 
 instant next_start_by_rate(const upstream_admission& upstream)
 {
-    return upstream.m_cold_rate > 0 ? next_start(upstream.m_starts, starts_per_second(upstream))
-                                    : instant{};
+    const auto [limit, since] = bound_of(upstream);
+    return protects_by_rate(upstream) ? next_start(upstream.m_starts, limit, since) : instant{};
 }
 
 void note_started(upstream_admission& upstream, instant now)
 {
     ++upstream.m_running;
-    if (upstream.m_cold_rate > 0) {
+    if (protects_by_rate(upstream)) {
         note_start(upstream.m_starts, now);
     }
 }
@@ -83,7 +100,7 @@
 {
     const auto before =
         static_cast<std::int64_t>(count_before(upstream.m_queue, line_of(attempt), now));
-    if (upstream.m_cold_rate > 0) {
+    if (protects_by_rate(upstream)) {
         const auto mean = from_seconds(upstream.m_mean_run_s);
         const auto own = attempt.m_expected_run == duration{} ? mean : attempt.m_expected_run;
         return now + from_seconds(to_seconds(own) * own_run_factor) +
@@ -117,10 +134,38 @@
     upstream.m_announced = warmth;
 }
 
-void set_cold_rate(admission_state& state, std::string_view endpoint, double starts_per_second)
+void set_cold_bounds(admission_state& state, std::string_view endpoint, const cold_bounds& bounds)
+{
+    if (const auto found = state.m_upstreams.find(endpoint); found != state.m_upstreams.end()) {
+        found->second.m_cold = bounds;
+    }
+}
+
+bool needs_confirmation(admission_state& state, std::string_view endpoint, instant now)
+{
+    const auto found = state.m_upstreams.find(endpoint);
+    if (found == state.m_upstreams.end() || !protects_by_rate(found->second) ||
+        found->second.m_announced == upstream_warmth::cold) {
+        return false;
+    }
+    auto& upstream = found->second;
+    const auto [limit, since] = bound_of(upstream);
+    return static_cast<double>(count_starts(upstream.m_starts, since, now)) >=
+           limit * share_before_confirmation;
+}
+
+void confirm_warm(admission_state& state, std::string_view endpoint, instant since)
+{
+    if (const auto found = state.m_upstreams.find(endpoint); found != state.m_upstreams.end()) {
+        auto& confirmed_at = found->second.m_confirmed_warm_at;
+        confirmed_at = std::max(confirmed_at, since);
+    }
+}
+
+void note_cold(admission_state& state, std::string_view endpoint)
 {
     if (const auto found = state.m_upstreams.find(endpoint); found != state.m_upstreams.end()) {
-        found->second.m_cold_rate = starts_per_second;
+        found->second.m_announced = upstream_warmth::cold;
     }
 }
 
--- a/libraries/libpolicy/admission/admission.h
+++ b/libraries/libpolicy/admission/admission.h
@@ -27,8 +27,19 @@
 void set_upstream(admission_state& state, std::string_view endpoint, std::uint32_t slots,
                   upstream_warmth warmth, upstream_news news, instant now);
 
-/// Sets what the upstream bears while it is cold, in starts per second; 0 if it is not told.
-void set_cold_rate(admission_state& state, std::string_view endpoint, double starts_per_second);
+/// Sets what the upstream bears while it is cold.
+void set_cold_bounds(admission_state& state, std::string_view endpoint, const cold_bounds& bounds);
+
+/// Whether so many attempts started since the upstream was last known to be warm that its warmth
+/// should be confirmed. Without that it gets no more than a cold one bears, as it may have become
+/// cold unnoticed.
+bool needs_confirmation(admission_state& state, std::string_view endpoint, instant now);
+
+/// The upstream was warm at some moment from `since` on.
+void confirm_warm(admission_state& state, std::string_view endpoint, instant since);
+
+/// The upstream is cold until it is announced as warm again.
+void note_cold(admission_state& state, std::string_view endpoint);
 
 /// Starts nothing on a cold upstream before `until`, since an earlier process may have.
 void block_starts(admission_state& state, std::string_view endpoint, instant until);
--- a/libraries/libpolicy/admission/admission_state.h
+++ b/libraries/libpolicy/admission/admission_state.h
@@ -13,13 +13,21 @@
 
 namespace chivevane {
 
+/// What an upstream bears while it is cold. Zeros if it is not told.
+struct cold_bounds {
+    double m_rate = 0; ///< Starts per second that it is given.
+    double m_most = 0; ///< Starts in any second that do no harm yet.
+};
+
 /// Admission to one upstream.
 struct upstream_admission {
     admission::concurrency_limit m_limit;
     upstream_warmth m_announced = upstream_warmth::cold;
     std::uint32_t m_running = 0;
     double m_mean_run_s = 0; ///< Of all attempts, recent ones weighing more; 0 while unknown.
-    double m_cold_rate = 0;  ///< Starts per second that it bears while cold; 0 if not told.
+    cold_bounds m_cold;
+    /// It was surely warm then, so earlier starts did no harm. Later it may have become cold.
+    instant m_confirmed_warm_at = instant::min();
     admission::start_window m_starts;
     admission::fair_queue m_queue;
 };
--- a/libraries/libpolicy/admission/start_window.cpp
+++ b/libraries/libpolicy/admission/start_window.cpp
@@ -9,14 +9,26 @@
 /// A second and what delays on the way to the upstream may squeeze together.
 constexpr duration span_of_window = 1020ms;
 
+std::size_t count_after(const start_window& window, instant since)
+{
+    const auto& starts = window.m_starts;
+    return static_cast<std::size_t>(starts.end() -
+                                    std::upper_bound(starts.begin(), starts.end(), since));
+}
+
 } // namespace
 
-bool may_start(start_window& window, std::uint32_t limit, instant now)
+bool may_start(start_window& window, std::uint32_t limit, instant since, instant now)
+{
+    return now >= window.m_blocked_until && count_starts(window, since, now) < limit;
+}
+
+std::size_t count_starts(start_window& window, instant since, instant now)
 {
     while (!window.m_starts.empty() && now - window.m_starts.front() >= span_of_window) {
         window.m_starts.pop_front();
     }
-    return now >= window.m_blocked_until && window.m_starts.size() < limit;
+    return count_after(window, since);
 }
 
 void note_start(start_window& window, instant now)
@@ -24,9 +36,9 @@
     window.m_starts.push_back(now);
 }
 
-instant next_start(const start_window& window, std::uint32_t limit)
+instant next_start(const start_window& window, std::uint32_t limit, instant since)
 {
-    if (window.m_starts.size() < limit || window.m_starts.empty()) {
+    if (count_after(window, since) < limit || window.m_starts.empty()) {
         return window.m_blocked_until;
     }
     const auto oldest = window.m_starts[window.m_starts.size() - std::max(1U, limit)];
--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -200,6 +200,18 @@
     return least;
 }
 
+std::string health_path_of(const configuration_state& state, std::string_view service)
+{
+    for (const auto& [name, held] : state.m_documents) {
+        for (const auto& policy : held.m_rules->m_services) {
+            if (policy.m_name == service && !policy.m_health_path.empty()) {
+                return policy.m_health_path;
+            }
+        }
+    }
+    return {};
+}
+
 std::vector<host_revision> rollout(const configuration_state& state, std::string_view name)
 {
     std::vector<host_revision> revisions{{state.m_own_name, own_revision(state, name)}};
--- a/libraries/libpolicy/configuration/configuration.h
+++ b/libraries/libpolicy/configuration/configuration.h
@@ -68,6 +68,9 @@
 /// if none does.
 double cold_rate_of(const configuration_state& state, std::string_view service);
 
+/// Path at which upstreams of `service` tell their health; empty if no document tells it.
+std::string health_path_of(const configuration_state& state, std::string_view service);
+
 /// Which revision of a document a host has in force.
 struct host_revision {
     std::string m_host;
--- a/libraries/libpolicy/effect.h
+++ b/libraries/libpolicy/effect.h
@@ -28,12 +28,16 @@
 };
 
 /// Who is at the other end of a transfer.
-enum class transfer_peer : std::uint8_t { host, upstream };
+enum class transfer_peer : std::uint8_t {
+    host,
+    upstream,        ///< The request of an attempt.
+    upstream_health, ///< A health check.
+};
 
-/// Sends a request with the body of an exchange to `m_ip`:`m_port`.
+/// Sends a request to `m_ip`:`m_port`, with the body of an exchange if one is named.
 struct start_transfer {
     transfer_id m_transfer = 0;
-    exchange_id m_exchange = 0; ///< Whose body is sent.
+    exchange_id m_exchange = 0; ///< Whose body is sent; 0 means none.
     std::string m_ip;
     std::uint16_t m_port = 0;
     request_head m_head;
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -5,6 +5,7 @@
 #include "libpolicy/forwarding.h"
 #include "libpolicy/gate/crash_reports.h"
 #include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/gate/health_checks.h"
 #include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/gate/run_outcomes.h"
 #include "libpolicy/gate/running_attempts.h"
@@ -380,6 +381,7 @@
 {
     note_revisions(node.m_gate.m_revisions, node.m_configuration, surroundings.m_now);
     check_due(node, surroundings);
+    expire_health_checks(node.m_gate, surroundings);
     for (const auto& expired : admission::take_expired(node.m_admission, surroundings.m_now)) {
         refuse_attempt(node, surroundings, expired.m_attempt, refusal_kind::deadline_exceeded);
     }
@@ -406,6 +408,7 @@
 instant next_wakeup(const gate_state& state)
 {
     auto earliest = state.m_due.empty() ? instant::max() : state.m_due.begin()->m_at;
+    earliest = std::min(earliest, next_health_check_end(state));
     for (const auto& [endpoint, upstream] : state.m_upstreams) {
         earliest = std::min(earliest, upstream.m_expires_at);
     }
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -3,6 +3,7 @@
 #include "libbase/instant.h"
 #include "libpolicy/gate/circuit.h"
 #include "libpolicy/gate/gate_events.h"
+#include "libpolicy/gate/health_check.h"
 #include "libpolicy/gate/known_revisions.h"
 #include "libpolicy/gate/quarantine.h"
 #include "libpolicy/gate/tombstones.h"
@@ -31,7 +32,8 @@
     double m_repeat_balance = 0; ///< Attempts that may be repeated on a fresh connection.
     upstream_circuit m_circuit;
     latency_tracker m_latencies;
-    bool m_is_replaced = false; ///< It answered that it is another; it must announce itself anew.
+    instant m_next_health_check; ///< It is not asked before.
+    bool m_is_replaced = false;  ///< It answered that it is another; it must announce itself anew.
 };
 
 /// How far an attempt has come at the gate.
@@ -89,6 +91,7 @@
     std::set<attempt_due> m_due; ///< The running attempts in order of time.
     std::unordered_map<exchange_id, attempt_id> m_by_exchange;
     std::unordered_map<transfer_id, attempt_id> m_by_transfer;
+    std::map<transfer_id, health_check> m_health_checks; ///< Under way.
     quarantine_state m_quarantine;
     known_revisions m_revisions;
     std::deque<crash_announcement> m_announcements;
--- /dev/null
+++ b/libraries/libpolicy/gate/health_checks.cpp
@@ -0,0 +1,155 @@
+#include "libpolicy/gate/health_checks.h"
+
+#include "libpolicy/admission/admission.h"
+#include "libpolicy/configuration/configuration.h"
+#include "libpolicy/gate/running_attempts.h"
+#include "libpolicy/node_state.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <string>
+#include <system_error>
+#include <utility>
+
+namespace chivevane::gate {
+
+namespace {
+
+/// Between two health checks of one upstream: each takes a slot for a moment.
+constexpr duration check_interval = 340ms;
+
+/// An upstream whose slots are taken answers late, and then no faster starts are needed.
+constexpr duration answer_timeout = 1s;
+constexpr duration connect_timeout = 200ms;
+
+/// Bytes of the answer's body that are read; its head tells all.
+constexpr std::size_t held_body = 4096;
+
+/// Fields of the answer.
+constexpr std::string_view endpoint_field = "X-Endpoint";
+constexpr std::string_view cold_left_field = "X-Cold-Ms";
+
+constexpr std::uint16_t status_ok = 200;
+
+/// Whether the answer comes from `endpoint`, as far as it tells.
+bool is_from(const response_head& head, std::string_view endpoint)
+{
+    return find_field(head.m_fields, endpoint_field).value_or(endpoint) == endpoint;
+}
+
+/// Whether the upstream says that it is cold. One that tells no number counts as cold.
+bool is_cold(const response_head& head)
+{
+    const auto left = find_field(head.m_fields, cold_left_field);
+    if (!left) {
+        return false;
+    }
+    double milliseconds = 0;
+    const auto [stop, problem] =
+        std::from_chars(left->data(), left->data() + left->size(), milliseconds);
+    return problem != std::errc{} || milliseconds > 0;
+}
+
+void record_cold(context& surroundings, std::string_view endpoint, const response_head& head)
+{
+    emit(surroundings,
+         record_event{"upstream-became-cold",
+                      {{"endpoint", std::string{endpoint}},
+                       {"cold_left_ms",
+                        std::string{find_field(head.m_fields, cold_left_field).value_or("0")}}},
+                      record_target::timeline_and_log});
+}
+
+void take_answer(node_state& node, context& surroundings, const health_check& check,
+                 const response_head& head)
+{
+    const auto upstream = node.m_gate.m_upstreams.find(check.m_endpoint);
+    if (upstream == node.m_gate.m_upstreams.end() || !is_from(head, check.m_endpoint)) {
+        return;
+    }
+    if (is_cold(head)) {
+        if (upstream->second.m_latest.m_warmth == upstream_warmth::warm) {
+            record_cold(surroundings, check.m_endpoint, head);
+        }
+        admission::note_cold(node.m_admission, check.m_endpoint);
+    }
+    else if (head.m_status == status_ok) {
+        admission::confirm_warm(node.m_admission, check.m_endpoint, check.m_sent_at);
+        start_waiting(node, surroundings);
+    }
+}
+
+void send_check(node_state& node, context& surroundings, const std::string& endpoint,
+                const upstream_announced& latest, const std::string& path)
+{
+    start_transfer order;
+    order.m_transfer = next_id(surroundings);
+    order.m_ip = latest.m_ip;
+    order.m_port = latest.m_port;
+    order.m_head = {"GET", path, {{"Host", fmt::format("{}:{}", latest.m_ip, latest.m_port)}}};
+    order.m_connect_timeout = connect_timeout;
+    order.m_stall_timeout = answer_timeout;
+    order.m_peer = transfer_peer::upstream_health;
+    order.m_held_body = held_body;
+    node.m_gate.m_health_checks[order.m_transfer] = {endpoint, surroundings.m_now};
+    emit(surroundings, std::move(order));
+}
+
+} // namespace
+
+void check_health_if_due(node_state& node, context& surroundings, std::string_view endpoint)
+{
+    const auto found = node.m_gate.m_upstreams.find(endpoint);
+    if (found == node.m_gate.m_upstreams.end() ||
+        surroundings.m_now < found->second.m_next_health_check ||
+        !admission::needs_confirmation(node.m_admission, endpoint, surroundings.m_now)) {
+        return;
+    }
+    auto& upstream = found->second;
+    const auto path =
+        configuration::health_path_of(node.m_configuration, upstream.m_latest.m_service);
+    if (!path.empty()) {
+        upstream.m_next_health_check = surroundings.m_now + check_interval;
+        send_check(node, surroundings, found->first, upstream.m_latest, path);
+    }
+}
+
+bool owns_health_check(const gate_state& state, transfer_id transfer)
+{
+    return state.m_health_checks.contains(transfer);
+}
+
+void on_health_head(node_state& node, context& surroundings, const transfer_head& answer)
+{
+    take_answer(node, surroundings, node.m_gate.m_health_checks.at(answer.m_transfer),
+                answer.m_head);
+}
+
+void on_health_check_ended(gate_state& state, const transfer_ended& end)
+{
+    state.m_health_checks.erase(end.m_transfer);
+}
+
+void expire_health_checks(gate_state& state, context& surroundings)
+{
+    std::erase_if(state.m_health_checks, [&surroundings](const auto& entry) {
+        const auto& [transfer, check] = entry;
+        const bool is_late = surroundings.m_now >= check.m_sent_at + answer_timeout;
+        if (is_late) {
+            emit(surroundings, cancel_transfer{transfer});
+        }
+        return is_late;
+    });
+}
+
+instant next_health_check_end(const gate_state& state)
+{
+    auto earliest = instant::max();
+    for (const auto& [transfer, check] : state.m_health_checks) {
+        earliest = std::min<instant>(earliest, check.m_sent_at + answer_timeout);
+    }
+    return earliest;
+}
+
+} // namespace chivevane::gate
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -4,6 +4,7 @@
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/gate/crash_reports.h"
 #include "libpolicy/gate/gate_answers.h"
+#include "libpolicy/gate/health_checks.h"
 #include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/gate/patience.h"
 #include "libpolicy/gate/run_outcomes.h"
@@ -121,6 +122,13 @@
                      connection_for(surroundings, node.m_gate, attempt));
 }
 
+cold_bounds cold_bounds_of(const node_state& node, const link_head& link)
+{
+    const auto rate = configuration::cold_rate_of(node.m_configuration, link.m_service);
+    const auto& tolerance = node.m_settings.m_cold_tolerance;
+    return {rate, rate * tolerance.m_factor + tolerance.m_slack};
+}
+
 void offer(node_state& node, context& surroundings, const attempt_id& id)
 {
     auto& attempt = node.m_gate.m_attempts.at(id);
@@ -136,9 +144,10 @@
         mean_latency(node.m_gate.m_upstreams.at(link.m_endpoint).m_latencies, link.m_route),
         link.m_priority,
         link.m_waiting};
-    admission::set_cold_rate(node.m_admission, link.m_endpoint,
-                             configuration::cold_rate_of(node.m_configuration, link.m_service));
-    switch (admission::offer(node.m_admission, queued, surroundings.m_now)) {
+    admission::set_cold_bounds(node.m_admission, link.m_endpoint, cold_bounds_of(node, link));
+    const auto verdict = admission::offer(node.m_admission, queued, surroundings.m_now);
+    check_health_if_due(node, surroundings, link.m_endpoint);
+    switch (verdict) {
     case admission::verdict::start:
         hand_over(node, surroundings, id);
         break;
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -4,6 +4,7 @@
 #include "libpolicy/admission/admission.h"
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/gate/gate.h"
+#include "libpolicy/gate/health_checks.h"
 #include "libpolicy/health/health.h"
 #include "libpolicy/ingress/ingress.h"
 #include "libpolicy/limits/limits.h"
@@ -91,6 +92,9 @@
     else if (gate::owns_transfer(node.m_gate, answer.m_transfer)) {
         gate::on_transfer_head(node, surroundings, answer);
     }
+    else if (gate::owns_health_check(node.m_gate, answer.m_transfer)) {
+        gate::on_health_head(node, surroundings, answer);
+    }
 }
 
 void handle(node_state& node, context& surroundings, const transfer_ended& end)
@@ -101,6 +105,9 @@
     else if (gate::owns_transfer(node.m_gate, end.m_transfer)) {
         gate::on_transfer_ended(node, surroundings, end);
     }
+    else if (gate::owns_health_check(node.m_gate, end.m_transfer)) {
+        gate::on_health_check_ended(node.m_gate, end);
+    }
 }
 
 void handle(node_state& node, context& surroundings, const datagram_received& received)
--- a/tests/libdocument/parse_test.cpp
+++ b/tests/libdocument/parse_test.cpp
@@ -195,7 +195,7 @@
     keys:
       - {{name: k, digest: {}}}
 services:
-  - {{name: s, floor: 0.5, cold_rate: 21}}
+  - {{name: s, floor: 0.5, cold_rate: 21, health_path: /healthz}}
   - {{name: t, floor: 0.5}}
 routes:
   - {{name: r, path_prefix: /p/, targets: [{{service: s, weight: 90}}, {{service: t, weight: 10}}], timeout_ms: 2000, attempts: 2, idempotent: false, priority: 1, latency_target_ms: 800}}
@@ -210,6 +210,7 @@
     BOOST_TEST(rules.m_organisations[0].m_rate == unlimited_rate);
     BOOST_TEST(rules.m_organisations[0].m_priority.value() == 2U);
     BOOST_TEST(rules.m_services[0].m_cold_rate == 21);
+    BOOST_TEST(rules.m_services[0].m_health_path == "/healthz");
     const auto& entry = rules.m_routes[0];
     BOOST_TEST(entry.m_targets.size() == 2U);
     BOOST_TEST(names_service(entry, "t"));
@@ -222,6 +223,18 @@
     BOOST_TEST((value_of(parse_document(format_document(rules))) == rules));
 }
 
+BOOST_AUTO_TEST_CASE(a_health_path_must_be_a_path)
+{
+    const auto is_refused = [](std::string_view path) {
+        return is_error(parse_document(
+            fmt::format("document: d\nservices:\n  - {{name: s, health_path: \"{}\"}}\n", path)));
+    };
+    BOOST_TEST(!is_refused("/healthz"));
+    BOOST_TEST(is_refused("healthz"));
+    BOOST_TEST(is_refused("/health z"));
+    BOOST_TEST(is_refused("/a/../b"));
+}
+
 BOOST_AUTO_TEST_CASE(faulty_targets_are_told)
 {
     const auto kind_of = [](std::string_view fields) {
--- a/tests/libpolicy/node_fixture.cpp
+++ b/tests/libpolicy/node_fixture.cpp
@@ -85,8 +85,14 @@
 
 void node_fixture::load_sample_document()
 {
-    const stored_document stored{"blackmorass", 1, "edit-1", sample_document()};
-    const store_entry entry{"/chivevane/documents/blackmorass", encode_document_record(stored), 1};
+    load_document("blackmorass", sample_document());
+}
+
+void node_fixture::load_document(std::string_view name, std::string_view text)
+{
+    const stored_document stored{std::string{name}, 1, "edit-1", std::string{text}};
+    const store_entry entry{fmt::format("/chivevane/documents/{}", name),
+                            encode_document_record(stored), 1};
     feed(store_response{1, store_purpose::document_read, store_entries{1, {entry}}});
 }
 
--- a/tests/libpolicy/node_fixture.h
+++ b/tests/libpolicy/node_fixture.h
@@ -27,6 +27,9 @@
     /// Puts `sample_document` in force, as read from the store.
     void load_sample_document();
 
+    /// Puts a document of this name and text in force, as read from the store.
+    void load_document(std::string_view name, std::string_view text);
+
     /// Announces an upstream on this host.
     void announce(std::string_view endpoint, std::string_view service);
 
--- a/tests/libpolicy/overload_test.cpp
+++ b/tests/libpolicy/overload_test.cpp
@@ -44,7 +44,7 @@
         for (auto& gate : m_gates) {
             admission::set_upstream(gate, "e", slots, upstream_warmth::warm,
                                     admission::upstream_news::started_anew, m_now);
-            admission::set_cold_rate(gate, "e", 1000);
+            admission::set_cold_bounds(gate, "e", {1000, 1400});
         }
     }
 
--- a/tests/libpolicy/start_window_test.cpp
+++ b/tests/libpolicy/start_window_test.cpp
@@ -20,7 +20,7 @@
     instant now{1h};
     for (int step = 0; step < 20'000; ++step) {
         now += duration{random(20'000)};
-        if (admission::may_start(window, limit, now)) {
+        if (admission::may_start(window, limit, instant::min(), now)) {
             admission::note_start(window, now);
             starts.push_back(now);
         }
@@ -35,13 +35,13 @@
 {
     admission::start_window window;
     const instant now{1h};
-    BOOST_TEST((admission::next_start(window, 2) <= now));
+    BOOST_TEST((admission::next_start(window, 2, instant::min()) <= now));
     admission::note_start(window, now);
     admission::note_start(window, now + 100ms);
-    BOOST_TEST(!admission::may_start(window, 2, now + 200ms));
-    const auto next = admission::next_start(window, 2);
+    BOOST_TEST(!admission::may_start(window, 2, instant::min(), now + 200ms));
+    const auto next = admission::next_start(window, 2, instant::min());
     BOOST_TEST((next > now + 1s));
-    BOOST_TEST(admission::may_start(window, 2, next));
+    BOOST_TEST(admission::may_start(window, 2, instant::min(), next));
 }
 
 BOOST_AUTO_TEST_CASE(a_cold_upstream_gets_what_it_bears_and_starts_of_an_earlier_process_count)
@@ -50,7 +50,7 @@
     instant now{1h};
     admission::set_upstream(state, "e", 8, upstream_warmth::cold,
                             admission::upstream_news::started_anew, now);
-    admission::set_cold_rate(state, "e", 10);
+    admission::set_cold_bounds(state, "e", {10, 15});
     admission::block_starts(state, "e", now + 1s);
     std::size_t started = 0;
     for (std::uint64_t request = 0; request < 3000; ++request) {
@@ -67,4 +67,80 @@
     BOOST_TEST(started <= 20U);
 }
 
+BOOST_AUTO_TEST_CASE(starts_before_a_confirmation_do_not_count)
+{
+    admission::start_window window;
+    const instant now{1h};
+    admission::note_start(window, now);
+    admission::note_start(window, now + 100ms);
+    BOOST_TEST(!admission::may_start(window, 1, now + 50ms, now + 200ms));
+    BOOST_TEST(admission::may_start(window, 1, now + 100ms, now + 200ms));
+    BOOST_TEST((admission::next_start(window, 1, now + 50ms) > now + 1100ms));
+    BOOST_TEST((admission::next_start(window, 1, now + 100ms) <= now + 200ms));
+}
+
+/// An upstream that becomes cold at random moments and tells it in its answers to health checks
+/// alone, which take some time both ways.
+struct cooling_upstream {
+    bool is_cold(instant at) const { return at >= m_cold_from && at < m_cold_until; }
+
+    instant m_cold_from = instant::max();
+    instant m_cold_until = instant::max();
+};
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_cools_unnoticed_gets_no_more_than_it_survives)
+{
+    constexpr cold_bounds bounds{12, 26};
+    random_engine random{9};
+    std::size_t most_started = 0;
+    for (int round = 0; round < 60; ++round) {
+        admission_state state;
+        instant now{1h};
+        admission::set_upstream(state, "e", 8, upstream_warmth::warm,
+                                admission::upstream_news::started_anew, now);
+        admission::set_cold_bounds(state, "e", bounds);
+        cooling_upstream upstream;
+        upstream.m_cold_from = now + 3s + duration{random(2'000'000)};
+        std::vector<instant> starts;
+        instant check_sent_at = instant::max();
+        instant next_check = now;
+        for (std::uint64_t request = 0; now < instant{1h} + 7s; ++request) {
+            now += duration{random(8'000)};
+            if (check_sent_at != instant::max() && now - check_sent_at > 60ms) {
+                if (upstream.is_cold(check_sent_at + 30ms)) {
+                    admission::note_cold(state, "e");
+                }
+                else {
+                    admission::confirm_warm(state, "e", check_sent_at);
+                }
+                check_sent_at = instant::max();
+            }
+            const queued_attempt attempt{
+                {{"h", 1}, request, 1}, "e", "o", now + 1s, now + 1s, {}, 0,
+                link_waiting::forbidden};
+            if (admission::offer(state, attempt, now) == admission::verdict::start) {
+                starts.push_back(now);
+                admission::finished(state, "e", admission::run_result::good, 1ms, now);
+            }
+            if (check_sent_at == instant::max() && now >= next_check &&
+                admission::needs_confirmation(state, "e", now)) {
+                check_sent_at = now;
+                next_check = now + 340ms;
+            }
+        }
+        for (const auto from : starts) {
+            const auto in_a_second =
+                std::count_if(starts.begin(), starts.end(),
+                              [from](instant each) { return each >= from && each - from < 1s; });
+            if (from >= upstream.m_cold_from) {
+                BOOST_TEST_REQUIRE(static_cast<double>(in_a_second) <= bounds.m_most);
+            }
+            else if (from + 1s < upstream.m_cold_from) {
+                most_started = std::max(most_started, static_cast<std::size_t>(in_a_second));
+            }
+        }
+    }
+    BOOST_TEST(most_started > 60U); // Far more than a cold one bears, while it is warm.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/heads_test.cpp
+++ b/tests/platform/heads_test.cpp
@@ -98,4 +98,12 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_health_answer_tells_who_it_is_and_how_long_it_stays_cold)
+{
+    const auto head = read_health_answer(
+        {200, {{"Chivevane-Instance-Id", "i-1"}, {"Chivevane-Cold-Ms", "1500"}}});
+    BOOST_TEST(value(head.m_fields, "X-Endpoint") == "i-1");
+    BOOST_TEST(value(head.m_fields, "X-Cold-Ms") == "1500");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -17,7 +17,7 @@
   "weighted-targets":[{"service":"s","weight":90},{"service":"t","weight":10}]},
  "r-once":{"host":"a.example","prefix":"/y/","kind":"non_idempotent","timeout-ms":2500,
   "priority":1,"service":"s","max-attempts":2,"public":true}},
- "services":{"s":{"cold-per-s":21.0},"t":{}},
+ "services":{"s":{"cold-per-s":21.0,"health-path":"/healthz"},"t":{}},
  "limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,
   "idle-timeout-ms":15000},
  "tenants":{"parish":{"api-keys":["k1","k2"],"priority":1,"rate-per-s":30,"burst":30},
@@ -58,6 +58,7 @@
     BOOST_TEST(rules.m_datacentres_out.at(0) == "south");
     BOOST_TEST(rules.m_caller_limits.m_head_bytes == 16384U);
     BOOST_TEST(rules.m_services.at(0).m_cold_rate == 21);
+    BOOST_TEST(rules.m_services.at(0).m_health_path == "/healthz");
 }
 
 BOOST_AUTO_TEST_CASE(without_tenants_all_routes_are_open)
