libpolicy: Share a gate's queue with the calls of upstreams

Cause: a line of the queue got an even part of its places among all lines that waited. Change: attempts without an organisation share the whole queue and are nobody's use; lines that are less urgent take no places. The log tells for each attempt why its gate refused it and whether it waited or insisted. Ruled out: the retry budget.

--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -86,12 +86,19 @@
     }
 }
 
-/// How many attempts of one organisation may wait: an even part of the queue.
+/// How many attempts of one line may wait: an even part of the queue among those that are as
+/// urgent. Attempts without an organisation may be of any number of callers: they share the queue.
 std::size_t longest_line(const upstream_admission& upstream, const queue_line& line)
 {
-    const auto others = upstream.m_queue.m_waiting.size() - upstream.m_queue.m_waiting.count(line);
     const auto places = queue_for_each_running * concurrency_of(upstream);
-    return std::max<std::size_t>(1, places / (others + 1));
+    if (line.m_organisation.empty()) {
+        return places;
+    }
+    const auto& waiting = upstream.m_queue.m_waiting;
+    const auto others = std::count_if(waiting.begin(), waiting.end(), [&line](const auto& entry) {
+        return entry.first != line && entry.first.m_priority <= line.m_priority;
+    });
+    return std::max<std::size_t>(1, places / (static_cast<std::size_t>(others) + 1));
 }
 
 /// When a new attempt would have its answer: after those before it and the ones that run now.
--- a/libraries/libpolicy/admission/fair_queue.cpp
+++ b/libraries/libpolicy/admission/fair_queue.cpp
@@ -13,8 +13,12 @@
 constexpr duration use_memory = 1s; // A flood stands back for about this long.
 constexpr double negligible_use = 0.05;
 
+/// Attempts without an organisation are no one's use.
 double use_of(const fair_queue& queue, const queue_line& line, instant now)
 {
+    if (line.m_organisation.empty()) {
+        return 0;
+    }
     const auto found = queue.m_given.find(line);
     if (found == queue.m_given.end()) {
         return 0;
--- a/libraries/libpolicy/admission/fair_queue.h
+++ b/libraries/libpolicy/admission/fair_queue.h
@@ -20,7 +20,7 @@
     instant m_faded_at;
 };
 
-/// The attempts of one organisation that have the same priority.
+/// The attempts of one organisation that have the same priority, or all without an organisation.
 struct queue_line {
     std::uint32_t m_priority = 0;
     std::string m_organisation;
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -138,7 +138,7 @@
     const queued_attempt queued{
         id,
         link.m_endpoint,
-        link.m_document + "/" + link.m_organisation,
+        link.m_organisation.empty() ? "" : link.m_document + "/" + link.m_organisation,
         attempt.m_deadline,
         surroundings.m_now + link.m_target_left,
         mean_latency(node.m_gate.m_upstreams.at(link.m_endpoint).m_latencies, link.m_route),
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -176,6 +176,7 @@
     node.m_ingress.m_by_transfer.erase(attempt.m_transfer);
     attempt.m_phase = attempt_phase::ended;
     attempt.m_outcome = reason.m_outcome;
+    attempt.m_ended_by = reason.m_kind;
     attempt.m_next_inquiry = instant::max();
 }
 
--- a/libraries/libpolicy/ingress/ingress_state.h
+++ b/libraries/libpolicy/ingress/ingress_state.h
@@ -50,10 +50,11 @@
     attempt_phase m_phase = attempt_phase::sent;
     request_outcome m_outcome = request_outcome::unknown; ///< Once ended.
     instant m_next_inquiry = instant::max();              ///< When its gate is next asked for it.
-    duration m_patience{};            ///< Wait for an answer before the first inquiry.
-    std::uint32_t m_inquiries = 0;    ///< Sent since the gate last gave a sign of life.
-    bool m_was_answered_once = false; ///< The gate says so, but no answer has come.
-    bool m_reached_upstream = true;   ///< False once its gate has told that it did not.
+    duration m_patience{};                  ///< Wait for an answer before the first inquiry.
+    std::uint32_t m_inquiries = 0;          ///< Sent since the gate last gave a sign of life.
+    bool m_was_answered_once = false;       ///< The gate says so, but no answer has come.
+    std::optional<refusal_kind> m_ended_by; ///< Why it got no answer, once ended.
+    bool m_reached_upstream = true;         ///< False once its gate has told that it did not.
 };
 
 /// How far a request has come at the ingress.
--- a/libraries/libpolicy/ingress/request_log.cpp
+++ b/libraries/libpolicy/ingress/request_log.cpp
@@ -13,15 +13,36 @@
     return find_field(request.m_head.m_fields, "X-Caller-Request-Id").value_or("-");
 }
 
+namespace {
+
+/// What became of an attempt: the gate's reason for refusing it, or whether it may have run.
+std::string fate_of(const ingress_attempt& attempt)
+{
+    if (attempt.m_reached_upstream) {
+        return attempt.m_outcome == request_outcome::not_run ? "not-run" : "may-have-run";
+    }
+    const auto kind = attempt.m_ended_by.value_or(refusal_kind::upstream_failed);
+    return std::string{to_string(kind)};
+}
+
+/// What the attempt asked of the gate beyond starting it at once.
+std::string_view manner_of(const ingress_attempt& attempt)
+{
+    if (attempt.m_insistence != link_insistence::none) {
+        return "/insisted";
+    }
+    return attempt.m_waiting == link_waiting::allowed ? "/waited" : "";
+}
+
+} // namespace
+
 std::string history_of(const ingress_request& request)
 {
     std::string text;
     for (const auto& attempt : request.m_attempts) {
-        const auto* const fate = !attempt.m_reached_upstream                     ? "gate-refused"
-                                 : attempt.m_outcome == request_outcome::not_run ? "not-run"
-                                                                                 : "may-have-run";
-        text += fmt::format("{}{}:{}", text.empty() ? "" : ",",
-                            attempt.m_destination.m_upstream.m_host, fate);
+        text += fmt::format("{}{}:{}{}", text.empty() ? "" : ",",
+                            attempt.m_destination.m_upstream.m_host, fate_of(attempt),
+                            manner_of(attempt));
     }
     return text.empty() ? "none" : text;
 }
--- a/tests/libpolicy/admission_test.cpp
+++ b/tests/libpolicy/admission_test.cpp
@@ -299,4 +299,85 @@
     BOOST_TEST((admission::next_wakeup(state) == instant::max()));
 }
 
+namespace {
+
+/// A gate whose upstream has all its slots taken.
+struct busy_gate {
+    busy_gate()
+    {
+        admission::set_upstream(m_state, "e", 4, upstream_warmth::warm,
+                                admission::upstream_news::started_anew, m_now);
+        admission::set_cold_bounds(m_state, "e", {1000, 1000});
+        for (int running = 0; running < 4; ++running) {
+            offer("document/first", 0);
+        }
+    }
+
+    admission::verdict offer(std::string organisation, std::uint32_t priority)
+    {
+        return admission::offer(m_state,
+                                {{{"ingress", 1}, ++m_last_request, 1},
+                                 "e",
+                                 std::move(organisation),
+                                 m_now + 10s,
+                                 m_now + 10s,
+                                 {},
+                                 priority},
+                                m_now);
+    }
+
+    std::size_t queued_of(std::size_t offered, const std::string& organisation,
+                          std::uint32_t priority)
+    {
+        std::size_t queued = 0;
+        for (std::size_t count = 0; count < offered; ++count) {
+            queued += offer(organisation, priority) == admission::verdict::queued ? 1 : 0;
+        }
+        return queued;
+    }
+
+    instant m_now{1h};
+    admission_state m_state;
+    std::uint64_t m_last_request = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(less_urgent_organisations_take_no_places_from_urgent_ones)
+{
+    busy_gate gate;
+    for (int organisation = 0; organisation < 15; ++organisation) {
+        gate.offer(fmt::format("document/{}", organisation), 2);
+    }
+    BOOST_TEST(gate.queued_of(40, "document/urgent", 1) == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(attempts_without_an_organisation_are_not_held_to_one_part)
+{
+    busy_gate gate;
+    for (int organisation = 0; organisation < 15; ++organisation) {
+        gate.offer(fmt::format("document/{}", organisation), 1);
+    }
+    BOOST_TEST(gate.queued_of(40, "", 1) == 40U);
+    BOOST_TEST(gate.queued_of(40, "document/flood", 1) <= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(attempts_without_an_organisation_take_turns_with_organisations)
+{
+    busy_gate gate;
+    for (int round = 0; round < 30; ++round) {
+        gate.offer("", 1);
+        gate.offer("document/parish", 1);
+    }
+    std::size_t without = 0;
+    for (int end = 0; end < 20; ++end) {
+        gate.m_now += 10ms;
+        admission::finished(gate.m_state, "e", admission::run_result::good, 10ms, gate.m_now);
+        for (const auto& next : admission::take_startable(gate.m_state, gate.m_now)) {
+            without += next.m_organisation.empty() ? 1 : 0;
+        }
+    }
+    BOOST_TEST(without >= 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
