libpolicy: Do not ask again for places in queues that were full

Change: a gate that refused to let an attempt wait is not asked by attempts that are no more urgent for 150 ms, 400 ms in another data centre; when all are known to be full the request is refused at once as overloaded.

--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -69,7 +69,8 @@
 }
 
 /// Remembers what the refusal of a gate tells of its upstream.
-void note_refusal(node_state& node, const ingress_attempt& attempt, refusal_kind kind, instant now)
+void note_refusal(node_state& node, const ingress_request& request, const ingress_attempt& attempt,
+                  refusal_kind kind, instant now)
 {
     auto& state = node.m_ingress;
     const auto& upstream = attempt.m_destination.m_upstream;
@@ -78,8 +79,10 @@
         host != nullptr && host->m_latest.m_datacentre == node.m_settings.m_datacentre;
     const auto distance = is_near ? placement::gate_distance::near : placement::gate_distance::far;
     switch (kind) {
-    case refusal_kind::busy:
     case refusal_kind::overloaded:
+        placement::note_full(state.m_destinations, upstream, distance, request.m_priority, now);
+        [[fallthrough]];
+    case refusal_kind::busy:
         placement::note_busy(state.m_destinations, upstream, distance, now);
         break;
     case refusal_kind::failing:
@@ -211,7 +214,7 @@
     }
     const auto kind = parse_refusal_kind(reason).value_or(refusal_kind::upstream_failed);
     attempt.m_reached_upstream = !is_from_gate(kind, not_run);
-    note_refusal(node, attempt, kind, surroundings.m_now);
+    note_refusal(node, request, attempt, kind, surroundings.m_now);
     end_attempt(node, surroundings, request, attempt,
                 {kind, not_run ? request_outcome::not_run : request_outcome::unknown, retry_after});
 }
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -212,7 +212,9 @@
     const auto target = find_destination(node, surroundings, request);
     if (!target) {
         conclude(node, surroundings, request,
-                 {refusal_kind::no_upstream, request_outcome::not_run, 1s});
+                 {probing::has_upstreams(node, surroundings, request) ? refusal_kind::overloaded
+                                                                      : refusal_kind::no_upstream,
+                  request_outcome::not_run, 1s});
         return;
     }
     set_hedge_time(node, surroundings, request);
--- a/libraries/libpolicy/ingress/probing.cpp
+++ b/libraries/libpolicy/ingress/probing.cpp
@@ -61,10 +61,15 @@
 {
     return surroundings.m_settings.m_placement == placement_mode::probing;
 }
-constexpr duration stall_timeout = 10s;
-constexpr duration answer_margin = 5ms; // Lets the gate's refusal, which tells the fate, arrive.
-constexpr std::uint32_t max_extra_attempts = 4;
-constexpr duration reading_lifetime = 10s; // A third of what gates accept.
+
+bool has_upstreams(const node_state& node, const context& surroundings,
+                   const ingress_request& request)
+{
+    return is_used(surroundings) &&
+           !routing::find_upstreams(surroundings, node.m_membership, node.m_configuration,
+                                    request.m_service)
+                .empty();
+}
 
 bool has_large_answers(const node_state& node, const ingress_request& request)
 {
@@ -87,9 +92,10 @@
 {
     const auto options = options_for(node, surroundings, request);
     const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
-    const auto decided =
-        placement::decide(options, {refusals, has_large_answers(node, request), surroundings.m_now},
-                          surroundings.m_random);
+    const auto decided = placement::decide(
+        options,
+        {refusals, request.m_priority, has_large_answers(node, request), surroundings.m_now},
+        surroundings.m_random);
     if (!decided) {
         return std::nullopt;
     }
--- a/libraries/libpolicy/ingress/probing.h
+++ b/libraries/libpolicy/ingress/probing.h
@@ -21,6 +21,10 @@
 bool is_used(const context& surroundings);
 
 /// Whether the answers of the request's route are too large to cross data centres for little.
+/// Whether any upstream of the service takes work, so that only room is missing.
+bool has_upstreams(const node_state& node, const context& surroundings,
+                   const ingress_request& request);
+
 bool has_large_answers(const node_state& node, const ingress_request& request);
 
 /// This host's part of the retries over all hosts.
--- a/libraries/libpolicy/placement/destination_view.cpp
+++ b/libraries/libpolicy/placement/destination_view.cpp
@@ -8,7 +8,12 @@
 namespace {
 
 constexpr duration far_busy_stay = 250ms;
-constexpr duration busy_stay = 60ms;     ///< About as long as short work takes.
+constexpr duration busy_stay = 60ms; ///< About as long as short work takes.
+
+/// A queue that is too long stays so for about as long as a run takes; far ones are dear to ask.
+constexpr duration full_stay = 150ms;
+constexpr duration far_full_stay = 400ms;
+
 constexpr duration failing_stay = 300ms; ///< A gate tries its upstream again after 400 ms.
 constexpr duration first_unreachable_stay = 500ms;
 constexpr duration longest_unreachable_stay = 2s;
@@ -38,6 +43,15 @@
     touch(view, upstream).m_busy_until = now + stay;
 }
 
+void note_full(destination_view& view, const upstream_id& upstream, gate_distance distance,
+               std::uint32_t priority, instant now)
+{
+    auto& record = touch(view, upstream);
+    const bool is_known = now < record.m_full_until;
+    record.m_full_priority = is_known ? std::min(record.m_full_priority, priority) : priority;
+    record.m_full_until = now + (distance == gate_distance::near ? full_stay : far_full_stay);
+}
+
 void note_failing(destination_view& view, const upstream_id& upstream, instant now)
 {
     touch(view, upstream).m_failing_until = now + failing_stay;
--- a/libraries/libpolicy/placement/destination_view.h
+++ b/libraries/libpolicy/placement/destination_view.h
@@ -10,9 +10,11 @@
 
 /// What this host learned of one upstream from the latest answers of its gate.
 struct destination_record {
-    instant m_busy_until;        ///< It had no free room of late.
-    instant m_failing_until;     ///< Its gate refuses work as it fails.
-    instant m_unreachable_until; ///< No connection to its gate could be made.
+    instant m_busy_until;              ///< It had no free room of late.
+    instant m_full_until;              ///< It refused to let an attempt wait.
+    std::uint32_t m_full_priority = 0; ///< Of that attempt; more urgent ones may still wait.
+    instant m_failing_until;           ///< Its gate refuses work as it fails.
+    instant m_unreachable_until;       ///< No connection to its gate could be made.
     duration m_unreachable_stay{};
     double m_load = 0; ///< Running and waiting attempts for each slot.
     instant m_load_at;
@@ -35,6 +37,10 @@
 void note_busy(destination_view& view, const upstream_id& upstream, gate_distance distance,
                instant now);
 
+/// The gate refused to let an attempt of this priority wait.
+void note_full(destination_view& view, const upstream_id& upstream, gate_distance distance,
+               std::uint32_t priority, instant now);
+
 /// The gate refused as its upstream fails.
 void note_failing(destination_view& view, const upstream_id& upstream, instant now);
 
--- a/libraries/libpolicy/placement/placement.cpp
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -30,6 +30,13 @@
     return now < each.m_record.m_busy_until;
 }
 
+/// Whether its gate would most likely refuse to let the attempt wait.
+bool is_full(const option& each, const situation& about)
+{
+    return about.m_now < each.m_record.m_full_until &&
+           about.m_priority >= each.m_record.m_full_priority;
+}
+
 double slots_of(std::span<const option> options, const std::vector<std::size_t>& chosen)
 {
     double sum = 0;
@@ -117,7 +124,9 @@
             }
         }
     }
-    const auto may_wait = [](const option& each) { return !each.m_has_waited; };
+    const auto may_wait = [&about](const option& each) {
+        return !each.m_has_waited && !is_full(each, about);
+    };
     for (const auto& group : {stays_near ? near : sound, sound}) {
         if (const auto hopeful = filter(options, group, may_wait); !hopeful.empty()) {
             return decision{least_loaded(options, hopeful), link_waiting::allowed};
--- a/libraries/libpolicy/placement/placement.h
+++ b/libraries/libpolicy/placement/placement.h
@@ -6,6 +6,7 @@
 #include "libwire/link_head.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -36,7 +37,8 @@
 struct situation {
     std::size_t m_refusals = 0; ///< Gates that refused the request so far.
 
-    bool m_is_large = false; ///< The answer is large: it should not cross data centres.
+    std::uint32_t m_priority = 0; ///< 0 is the most urgent.
+    bool m_is_large = false;      ///< The answer is large: it should not cross data centres.
     instant m_now;
 };
 
--- a/tests/libpolicy/overload_test.cpp
+++ b/tests/libpolicy/overload_test.cpp
@@ -85,8 +85,8 @@
                 options[gate].m_was_tried = contains(request.m_tried, gate);
                 options[gate].m_has_waited = contains(request.m_waited, gate);
             }
-            const auto decided =
-                placement::decide(options, {request.m_tried.size(), false, m_now}, m_random);
+            const auto decided = placement::decide(
+                options, {request.m_tried.size(), request.m_priority, false, m_now}, m_random);
             if (!decided) {
                 refuse(request);
                 return;
--- a/tests/libpolicy/placement_test.cpp
+++ b/tests/libpolicy/placement_test.cpp
@@ -22,7 +22,7 @@
 
     std::optional<placement::decision> decide()
     {
-        return placement::decide(m_options, {m_refusals, m_is_large, m_now}, m_random);
+        return placement::decide(m_options, {m_refusals, m_priority, m_is_large, m_now}, m_random);
     }
 
     /// The options that come up in many decisions.
@@ -39,6 +39,7 @@
 
     std::vector<placement::option> m_options;
     std::size_t m_refusals = 0;
+    std::uint32_t m_priority = 1;
     bool m_is_large = false;
     instant m_now{1h};
     random_engine m_random{1};
@@ -135,4 +136,31 @@
     BOOST_TEST((placement::record_of(view, upstream).m_unreachable_until < m_now));
 }
 
+BOOST_AUTO_TEST_CASE(gates_whose_queues_were_full_a_moment_ago_are_not_asked_to_queue_more)
+{
+    m_refusals = 5;
+    for (auto& each : m_options) {
+        each.m_was_tried = true;
+        each.m_record.m_full_until = m_now + 100ms;
+        each.m_record.m_full_priority = 1;
+    }
+    BOOST_TEST(!decide().has_value());
+    m_priority = 0;
+    BOOST_TEST((decide()->m_waiting == link_waiting::allowed));
+    m_priority = 1;
+    m_now += 200ms;
+    BOOST_TEST((decide()->m_waiting == link_waiting::allowed));
+}
+
+BOOST_AUTO_TEST_CASE(the_most_urgent_refusal_of_late_counts)
+{
+    destination_view view;
+    const upstream_id upstream{"host-1", "endpoint"};
+    placement::note_full(view, upstream, placement::gate_distance::near, 1, m_now);
+    placement::note_full(view, upstream, placement::gate_distance::near, 2, m_now + 1ms);
+    BOOST_TEST(placement::record_of(view, upstream).m_full_priority == 1U);
+    placement::note_full(view, upstream, placement::gate_distance::near, 2, m_now + 10s);
+    BOOST_TEST(placement::record_of(view, upstream).m_full_priority == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
