libpolicy: Fetch documents inside a data centre

Change: what a peer of another data centre has is fetched 100 to 500 ms later, and not from there if one of this data centre is heard to have it first. The first host to fetch it from afar tells all of its data centre. A host that is not ready yet fetches at once. Ruled out: a wait alone. Where only one data centre's watchers hear the store, all others waited for the same time and fetched far together (no change).

--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -93,12 +93,15 @@
 
 void on_fetched(configuration_state& state, context& surroundings, const document_fetched& answer)
 {
-    state.m_fetches.erase(answer.m_name);
+    const auto fetch = state.m_fetches.extract(answer.m_name);
+    const bool is_imported =
+        !fetch.empty() && fetch.mapped().m_place == peer_place::other_datacentre;
     if (!answer.m_document || answer.m_document->m_name != answer.m_name) {
         return;
     }
     if (put_in_force(state, surroundings, *answer.m_document, answer.m_rules)) {
-        state.m_announcements.push_back({answer.m_name, announcement_kind::relayed});
+        const auto kind = is_imported ? announcement_kind::imported : announcement_kind::relayed;
+        state.m_announcements.push_back({answer.m_name, kind});
     }
 }
 
@@ -134,13 +137,17 @@
     if (peer == nullptr) {
         return;
     }
-    take_revisions(state, surroundings, sender.m_name, peer->m_latest.m_address, revisions);
+    const auto place = peer->m_latest.m_datacentre == surroundings.m_settings.m_datacentre
+                           ? peer_place::same_datacentre
+                           : peer_place::other_datacentre;
+    take_revisions(state, surroundings, sender.m_name, peer->m_latest.m_address, place, revisions);
 }
 
 void on_timer(configuration_state& state, context& surroundings, const membership_state& members)
 {
     state.m_last_timer = surroundings.m_now;
     collect_digests(state, members, surroundings.m_now);
+    begin_deferred_fetches(state, surroundings);
     send_announcements(state, surroundings, members);
     repeat_writes(state, surroundings);
     check_readiness(state, surroundings, members);
@@ -230,6 +237,9 @@
     for (const auto& write : state.m_waiting_writes) {
         due = std::min(due, write.m_retry_at);
     }
+    for (const auto& [name, deferred] : state.m_deferred) {
+        due = std::min(due, deferred.m_at);
+    }
     return due;
 }
 
--- a/libraries/libpolicy/configuration/configuration_state.h
+++ b/libraries/libpolicy/configuration/configuration_state.h
@@ -32,14 +32,29 @@
     std::string m_organisation;
 };
 
+/// Where a peer is, seen from this host.
+enum class peer_place : std::uint8_t { same_datacentre, other_datacentre };
+
 /// A fetch from a peer that was not answered yet.
 struct pending_fetch {
     document_revision m_wanted;
     instant m_asked_at;
+    peer_place m_place = peer_place::same_datacentre;
 };
 
-/// Whether a document is told to peers as its first bearer or passed on.
-enum class announcement_kind : std::uint8_t { first, relayed };
+/// A fetch from another data centre that waits for a peer of this one to have the document.
+struct deferred_fetch {
+    document_revision m_wanted;
+    host_address m_from;
+    instant m_at;
+};
+
+/// To which peers a document is told.
+enum class announcement_kind : std::uint8_t {
+    first,    ///< This host has it from the store: to many.
+    relayed,  ///< From a peer: to a few, where the fleet is large.
+    imported, ///< From another data centre: to all of this one.
+};
 
 /// A document whose revision is to be told to peers.
 struct pending_announcement {
@@ -85,6 +100,7 @@
     bool m_is_ready = false; ///< The newest documents of the store or of peers are in force.
 
     std::map<std::string, pending_fetch, std::less<>> m_fetches;   ///< By document name.
+    std::map<std::string, deferred_fetch, std::less<>> m_deferred; ///< By document name.
     std::map<std::string, open_question, std::less<>> m_questions; ///< By host.
     std::set<std::string> m_synced_peers; ///< Hosts that had nothing newer; kept until ready.
     std::vector<pending_announcement> m_announcements;
--- a/libraries/libpolicy/configuration/document_sync.cpp
+++ b/libraries/libpolicy/configuration/document_sync.cpp
@@ -16,6 +16,13 @@
 /// Time until a document is fetched again whose copy did not come: 1 MB at 10 Mbit/s.
 constexpr duration fetch_repeat = 1s;
 
+/// Wait for a peer of this data centre to have a document: several round trips to the store and
+/// between hosts.
+constexpr duration far_fetch_delay = 100ms;
+
+/// Spread of that wait, in which the first to fetch it tells the others of its data centre.
+constexpr duration far_fetch_spread = 400ms;
+
 /// Revisions in one datagram: 64 bytes of name and 18 of numbers each at most.
 constexpr std::size_t revisions_per_part = 14;
 
@@ -53,7 +60,7 @@
 }
 
 void fetch(configuration_state& state, context& surroundings, const host_address& address,
-           const document_revision& wanted)
+           peer_place place, const document_revision& wanted)
 {
     const auto pending = state.m_fetches.find(wanted.m_name);
     const bool is_under_way = pending != state.m_fetches.end() &&
@@ -62,10 +69,22 @@
     if (is_under_way) {
         return;
     }
-    state.m_fetches[wanted.m_name] = {wanted, surroundings.m_now};
+    state.m_fetches[wanted.m_name] = {wanted, surroundings.m_now, place};
     emit(surroundings, fetch_document{address, wanted.m_name});
 }
 
+/// Remembers to fetch `wanted` from another data centre.
+void defer_fetch(configuration_state& state, context& surroundings, const host_address& address,
+                 const document_revision& wanted)
+{
+    const auto found = state.m_deferred.find(wanted.m_name);
+    if (found == state.m_deferred.end() || found->second.m_wanted.m_revision < wanted.m_revision) {
+        const auto wait = far_fetch_delay + from_seconds(to_seconds(far_fetch_spread) *
+                                                         uniform_fraction(surroundings.m_random));
+        state.m_deferred[wanted.m_name] = {wanted, address, surroundings.m_now + wait};
+    }
+}
+
 /// Notes a part of an answer that held nothing newer; the last one confirms the documents.
 void note_clean_part(configuration_state& state, context& surroundings, const std::string& peer,
                      const document_revisions& revisions)
@@ -82,12 +101,16 @@
     }
 }
 
-std::vector<host_address> addresses_of_peers(const membership_state& members)
+/// The peers that may be told: all, or those of this data centre.
+std::vector<host_address> addresses_of_peers(const membership_state& members,
+                                             announcement_kind kind)
 {
     std::vector<host_address> addresses;
     for (const auto& [name, peer] : members.m_members) {
         const bool is_self = name == members.m_self.m_identity.m_name;
-        if (!is_self && peer.m_status != member_status::dead) {
+        const bool is_wanted = kind != announcement_kind::imported ||
+                               peer.m_latest.m_datacentre == members.m_self.m_datacentre;
+        if (!is_self && is_wanted && peer.m_status != member_status::dead) {
             addresses.push_back(peer.m_latest.m_address);
         }
     }
@@ -143,13 +166,16 @@
 }
 
 void take_revisions(configuration_state& state, context& surroundings, const std::string& peer,
-                    const host_address& address, const document_revisions& revisions)
+                    const host_address& address, peer_place place,
+                    const document_revisions& revisions)
 {
     bool is_clean = true;
     for (const auto& theirs : revisions.m_revisions) {
         if (is_newer(state, theirs)) {
             is_clean = false;
-            fetch(state, surroundings, address, theirs);
+            const bool may_wait = place == peer_place::other_datacentre && state.m_is_ready;
+            may_wait ? defer_fetch(state, surroundings, address, theirs)
+                     : fetch(state, surroundings, address, place, theirs);
         }
     }
     if (is_clean && revisions.m_question != 0) {
@@ -157,13 +183,25 @@
     }
 }
 
+void begin_deferred_fetches(configuration_state& state, context& surroundings)
+{
+    std::erase_if(state.m_deferred, [&](const auto& entry) {
+        const auto& [name, each] = entry;
+        const bool is_due = surroundings.m_now >= each.m_at;
+        if (is_due && is_newer(state, each.m_wanted)) {
+            fetch(state, surroundings, each.m_from, peer_place::other_datacentre, each.m_wanted);
+        }
+        return is_due;
+    });
+}
+
 void send_announcements(configuration_state& state, context& surroundings,
                         const membership_state& members)
 {
     std::vector<pending_announcement> due;
     due.swap(state.m_announcements);
     for (const auto& announcement : due) {
-        auto addresses = addresses_of_peers(members);
+        auto addresses = addresses_of_peers(members, announcement.m_kind);
         const bool is_small_fleet = addresses.size() <= first_announcements;
         const bool is_relayed = announcement.m_kind == announcement_kind::relayed;
         if (is_small_fleet && is_relayed) {
--- a/libraries/libpolicy/configuration/document_sync.h
+++ b/libraries/libpolicy/configuration/document_sync.h
@@ -16,9 +16,15 @@
 void answer_question(const configuration_state& state, context& surroundings,
                      const document_question& question);
 
-/// Fetches what is newer at the peer, and confirms the documents in force if nothing is.
+/// Fetches what is newer at the peer, and confirms the documents in force if nothing is. What a
+/// peer of another data centre has is fetched a moment later, unless one of this data centre is
+/// heard to have it first.
 void take_revisions(configuration_state& state, context& surroundings, const std::string& peer,
-                    const host_address& address, const document_revisions& revisions);
+                    const host_address& address, peer_place place,
+                    const document_revisions& revisions);
+
+/// Fetches from other data centres what no peer of this one was heard to have.
+void begin_deferred_fetches(configuration_state& state, context& surroundings);
 
 /// Tells peers of documents that came in force.
 void send_announcements(configuration_state& state, context& surroundings,
--- a/tests/libpolicy/configuration_test.cpp
+++ b/tests/libpolicy/configuration_test.cpp
@@ -89,6 +89,31 @@
 
 BOOST_AUTO_TEST_SUITE(configuration_fleet)
 
+BOOST_AUTO_TEST_CASE(documents_are_fetched_inside_a_data_centre_where_a_peer_has_them)
+{
+    auto hosts = serving_fleet(34, 3);
+    hosts.m_near_fetches = 0;
+    hosts.m_far_fetches = 0;
+    BOOST_TEST(submit(hosts, 3, edit(1, "first", 0)) == 200);
+    BOOST_TEST(hosts.run_until([&] { return is_in_force_everywhere(hosts, 1); }, 2s));
+    BOOST_TEST(hosts.m_far_fetches * 10 <= hosts.m_near_fetches + hosts.m_far_fetches);
+}
+
+BOOST_AUTO_TEST_CASE(documents_are_fetched_from_another_data_centre_where_no_peer_has_them)
+{
+    auto hosts = serving_fleet(34, 4);
+    hosts.run_for(5s); // So that watches that were under way have ended.
+    // Only hosts of the first data centre hear the store.
+    hosts.m_is_cut_from_store = [](std::size_t index) { return index % 3 != 0; };
+    hosts.run_for(10s);
+    hosts.m_near_fetches = 0;
+    hosts.m_far_fetches = 0;
+    BOOST_TEST(submit(hosts, 3, edit(1, "first", 0)) == 200);
+    BOOST_TEST(hosts.run_until([&] { return is_in_force_everywhere(hosts, 1); }, 2s));
+    BOOST_TEST(hosts.m_far_fetches >= 2U);
+    BOOST_TEST(hosts.m_far_fetches * 2 <= hosts.m_near_fetches + hosts.m_far_fetches);
+}
+
 BOOST_AUTO_TEST_CASE(an_accepted_revision_is_in_force_everywhere_within_seconds)
 {
     auto hosts = serving_fleet(34, 1);
--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -187,6 +187,9 @@
         target && !(m_is_cut && (m_is_cut(from, *target) || m_is_cut(*target, from)));
     document_fetched answer{item.m_name, {}};
     if (is_reached) {
+        const auto& settings = m_hosts[from].m_settings;
+        const bool is_near = settings.m_datacentre == m_hosts[*target].m_settings.m_datacentre;
+        ++(is_near ? m_near_fetches : m_far_fetches);
         const auto& documents = node(*target).m_configuration.m_documents;
         if (const auto held = documents.find(item.m_name); held != documents.end()) {
             answer.m_document = held->second.m_stored;
--- a/tests/libpolicy/fleet_fixture.h
+++ b/tests/libpolicy/fleet_fixture.h
@@ -79,6 +79,8 @@
         bool m_is_write = false;
     };
     std::vector<store_call> m_store_calls;
+    std::size_t m_near_fetches = 0; ///< Of documents, inside a data centre.
+    std::size_t m_far_fetches = 0;
     std::function<void(std::size_t)> m_after_event; ///< A check of each host after each event.
 
 private:
