libpolicy: Let quick changes not put off each other's fetch

Cause: read in the diff: a newer revision heard from another data centre began the wait for a peer of this one anew, so that changes in quick succession could put off a fetch again and again. Change: it waits no longer than the revision that it replaces. Before and after: configuration_fleet/changes_in_quick_succession... passes both ways (twenty edits, 150 ms apart, two data centres without the store): the hosts that do fetch tell the others soon enough. It stays as a bound on the lag.

--- a/libraries/libpolicy/configuration/document_sync.cpp
+++ b/libraries/libpolicy/configuration/document_sync.cpp
@@ -73,16 +73,21 @@
     emit(surroundings, fetch_document{address, wanted.m_name});
 }
 
-/// Remembers to fetch `wanted` from another data centre.
+/// Remembers to fetch `wanted` from another data centre. A newer revision waits no longer than the
+/// one that it replaces, so that quick changes do not put off each other.
 void defer_fetch(configuration_state& state, context& surroundings, const host_address& address,
                  const document_revision& wanted)
 {
-    const auto found = state.m_deferred.find(wanted.m_name);
-    if (found == state.m_deferred.end() || found->second.m_wanted.m_revision < wanted.m_revision) {
-        const auto wait = far_fetch_delay + from_seconds(to_seconds(far_fetch_spread) *
-                                                         uniform_fraction(surroundings.m_random));
-        state.m_deferred[wanted.m_name] = {wanted, address, surroundings.m_now + wait};
+    if (const auto found = state.m_deferred.find(wanted.m_name); found != state.m_deferred.end()) {
+        if (found->second.m_wanted.m_revision < wanted.m_revision) {
+            found->second.m_wanted = wanted;
+            found->second.m_from = address;
+        }
+        return;
     }
+    const auto wait = far_fetch_delay + from_seconds(to_seconds(far_fetch_spread) *
+                                                     uniform_fraction(surroundings.m_random));
+    state.m_deferred[wanted.m_name] = {wanted, address, surroundings.m_now + wait};
 }
 
 /// Notes a part of an answer that held nothing newer; the last one confirms the documents.
--- a/tests/libpolicy/configuration_test.cpp
+++ b/tests/libpolicy/configuration_test.cpp
@@ -114,6 +114,22 @@
     BOOST_TEST(hosts.m_far_fetches * 2 <= hosts.m_near_fetches + hosts.m_far_fetches);
 }
 
+BOOST_AUTO_TEST_CASE(changes_in_quick_succession_do_not_put_off_each_other)
+{
+    constexpr std::uint64_t edits = 20;
+    constexpr std::uint64_t longest_lag = 7; // Edits in a second.
+    auto hosts = serving_fleet(34, 5);
+    hosts.m_is_cut_from_store = [](std::size_t index) { return index % 3 != 0; };
+    hosts.run_for(10s);
+    for (std::uint64_t number = 1; number <= edits; ++number) {
+        hosts.feed(3, edit(number, std::to_string(number)));
+        hosts.run_for(150ms);
+        for (std::size_t index = 0; index < hosts.m_hosts.size(); ++index) {
+            BOOST_TEST_REQUIRE(hosts.revision(index, document_name) + longest_lag >= number);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_accepted_revision_is_in_force_everywhere_within_seconds)
 {
     auto hosts = serving_fleet(34, 1);
