libpolicy: Answer all who still wait before the process ends

Cause: at the end of the shutdown limit requests that had not been answered were cut off. Change: before it stops the reducer answers every request: as not run where that is proven, else as unknown. Answers that are being relayed are cut visibly as before.

--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -350,6 +350,18 @@
     forget_request(node, request);
 }
 
+void conclude_all(node_state& node, context& surroundings)
+{
+    std::vector<exchange_id> waiting;
+    for (const auto& [exchange, request] : node.m_ingress.m_requests) {
+        waiting.push_back(exchange);
+    }
+    for (const auto exchange : waiting) {
+        conclude(node, surroundings, node.m_ingress.m_requests.at(exchange),
+                 {refusal_kind::leaving, request_outcome::not_run, 1s});
+    }
+}
+
 void forget_request(node_state& node, ingress_request& request)
 {
     auto& state = node.m_ingress;
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -55,6 +55,9 @@
 /// is not used: the outcome follows from all attempts.
 void conclude(node_state& node, context& surroundings, ingress_request& request, refusal reason);
 
+/// Answers all requests that still wait, since the process ends: as not run where that is proven.
+void conclude_all(node_state& node, context& surroundings);
+
 /// Forgets a request that has ended. Its connections must have been cancelled.
 void forget_request(node_state& node, ingress_request& request);
 
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -6,6 +6,7 @@
 #include "libpolicy/gate/gate.h"
 #include "libpolicy/gate/health_checks.h"
 #include "libpolicy/health/health.h"
+#include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/ingress.h"
 #include "libpolicy/limits/limits.h"
 #include "libpolicy/limits/metering.h"
@@ -31,6 +32,8 @@
     limits::leave(node.m_limits, surroundings);
 }
 
+void stop(node_state& node, context& surroundings);
+
 /// Stops to take new work once the notice is over.
 void end_notice(node_state& node, context& surroundings)
 {
@@ -54,7 +57,7 @@
 void handle(node_state& node, context& surroundings, const leave_requested&)
 {
     if (node.m_leave_deadline) {
-        emit(surroundings, stop_process{});
+        stop(node, surroundings);
         return;
     }
     node.m_leave_deadline = surroundings.m_now + node.m_settings.m_shutdown_limit;
@@ -228,6 +231,13 @@
            !limits::has_left(node.m_limits);
 }
 
+/// Ends the process, after an answer to every caller that still waits for one.
+void stop(node_state& node, context& surroundings)
+{
+    ingress::conclude_all(node, surroundings);
+    emit(surroundings, stop_process{});
+}
+
 /// What follows from any event: late token verdicts, the digest in heartbeats, the end of a leave.
 void settle(node_state& node, context& surroundings)
 {
@@ -236,7 +246,7 @@
                                      configuration::digest_of(node.m_configuration));
     const bool is_done = node.m_gate.m_is_leaving && !has_work_in_progress(node);
     if (node.m_leave_deadline && (is_done || surroundings.m_now >= *node.m_leave_deadline)) {
-        emit(surroundings, stop_process{});
+        stop(node, surroundings);
     }
 }
 
--- /dev/null
+++ b/tests/libpolicy/leaving_test.cpp
@@ -0,0 +1,64 @@
+#include "libpolicy/node_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chivevane;
+using namespace chivevane::test;
+
+namespace {
+
+/// A host with one upstream that answers nothing.
+struct leaving_fixture : node_fixture {
+    leaving_fixture()
+    {
+        m_node.m_settings.m_shutdown_limit = 500ms;
+        load_sample_document();
+        announce("permits-1", "permits");
+    }
+
+    effect_list send()
+    {
+        const request_head head{
+            "POST", "/permits", {{"Host", "a"}, {"Authorization", "Bearer parish-key"}}};
+        return feed(inbound_request{7, listener_kind::caller, head, 0, 0});
+    }
+
+    /// The effects until the process ends.
+    effect_list leave()
+    {
+        effect_list all = feed(leave_requested{});
+        for (int step = 0; step < 12 && only<stop_process>(all).empty(); ++step) {
+            for (auto& each : advance(100ms)) {
+                all.push_back(std::move(each));
+            }
+        }
+        return all;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(leaving, leaving_fixture)
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_answered_as_unknown_before_the_end)
+{
+    BOOST_TEST_REQUIRE(only<start_transfer>(send()).size() == 1U);
+    const auto effects = leave();
+    const auto answers = only<respond>(effects);
+    BOOST_TEST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(answers[0].m_exchange == 7U);
+    BOOST_TEST(answers[0].m_head.m_status == 502);
+    BOOST_TEST(answers[0].m_body.find("unknown") != std::string::npos);
+    BOOST_TEST(only<stop_process>(effects).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_second_order_to_leave_answers_as_well)
+{
+    send();
+    feed(leave_requested{});
+    const auto effects = feed(leave_requested{});
+    BOOST_TEST(only<respond>(effects).size() == 1U);
+    BOOST_TEST(!only<stop_process>(effects).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
