--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -45,6 +45,9 @@
 constexpr duration max_flush_time = 400ms;
 constexpr duration flush_check_interval = 20ms;
 
+/// Lateness of a timer from which it is logged.
+constexpr duration logged_timer_lateness = 200ms;
+
 std::uint64_t hash_of(const std::string& body)
 {
     return body.empty() ? 0 : stable_hash(body);
@@ -369,11 +372,24 @@
     m_timer.expires_at(std::min(due, current_time() + max_wait));
     m_timer.async_wait([this](const asio::error_code& problem) {
         if (!problem) {
+            record_late_timer(
+                std::chrono::duration_cast<duration>(current_time() - m_timer.expiry()));
             enqueue(timer_fired{});
         }
     });
 }
 
+/// Logs that a timer fired late, as the loop was busy or had no processor time.
+void host_process::record_late_timer(duration lateness)
+{
+    if (lateness > logged_timer_lateness) {
+        execute(record_event{"loop-late",
+                             {{"late_ms", std::to_string(to_milliseconds(lateness))},
+                              {"events", std::to_string(m_events.size())}},
+                             record_target::timeline_and_log});
+    }
+}
+
 void host_process::execute(const stop_process&)
 {
     if (std::exchange(m_is_stopped, true)) {
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -76,6 +76,7 @@
     bool is_stale(const event_body& body) const;
     void handle(event_body body);
     void set_timer();
+    void record_late_timer(duration lateness);
 
     void execute_all(const effect_list& effects);
     void execute(const respond& command);
--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -73,6 +73,21 @@
     return digest == empty_digest ? std::optional<std::uint64_t>{0} : std::nullopt;
 }
 
+/// Logs what came of the last fetch of a document.
+void record_fetch(reducer_context& context, const document_fetched& answer,
+                  const pending_fetch& fetch)
+{
+    const auto revision = answer.m_document ? answer.m_document->m_revision : 0;
+    emit(context,
+         record_event{
+             "document-fetched",
+             {{"document", answer.m_name},
+              {"wanted", std::to_string(fetch.m_wanted.m_revision)},
+              {"revision", std::to_string(revision)},
+              {"waited_ms", std::to_string(to_milliseconds(context.m_now - fetch.m_requested_at))}},
+             record_target::timeline_and_log});
+}
+
 } // namespace
 
 void start(configuration_state& state, reducer_context& context)
@@ -103,6 +118,9 @@
     const auto fetch = state.m_fetches.extract(answer.m_name);
     const bool is_from_other_datacentre =
         !fetch.empty() && fetch.mapped().m_locality == peer_locality::other_datacentre;
+    if (!fetch.empty()) {
+        record_fetch(context, answer, fetch.mapped());
+    }
     if (!answer.m_document || answer.m_document->m_name != answer.m_name) {
         return;
     }
--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -98,6 +98,18 @@
     }
 }
 
+void record_failure(const configuration_state& state, reducer_context& context,
+                    const store_failure& failure)
+{
+    emit(context,
+         record_event{"store-read-failed",
+                      {{"failures", std::to_string(state.m_store_failures)},
+                       {"retry_ms",
+                        std::to_string(to_milliseconds(state.m_next_store_call - context.m_now))},
+                       {"reason", failure.m_detail}},
+                      record_target::timeline_and_log});
+}
+
 void back_off(configuration_state& state, reducer_context& context)
 {
     const auto doublings = std::min<std::uint32_t>(state.m_store_failures++, 6);
@@ -164,6 +176,9 @@
         return;
     }
     back_off(state, context);
+    if (const auto* const failure = std::get_if<store_failure>(&response.m_outcome)) {
+        record_failure(state, context, *failure);
+    }
 }
 
 } // namespace chivevane::configuration
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -9,6 +9,7 @@
 #include "libpolicy/ingress/caller_request.h"
 #include "libpolicy/ingress/execution_inquiries.h"
 #include "libpolicy/ingress/is_idempotent.h"
+#include "libpolicy/ingress/request_log.h"
 #include "libpolicy/limits/limits.h"
 #include "libpolicy/refusal.h"
 #include "libwire/attempt_metadata.h"
@@ -211,6 +212,7 @@
 void on_caller_disconnected(host_state& self, reducer_context& context, exchange_id exchange)
 {
     auto& request = self.m_ingress.m_requests.at(exchange);
+    log_caller_left(context, request);
     if (request.m_phase == ingress_phase::awaiting_token) {
         limits::cancel_waiting_request(self.m_limits, exchange);
     }
--- a/libraries/libpolicy/ingress/request_log.cpp
+++ b/libraries/libpolicy/ingress/request_log.cpp
@@ -86,4 +86,16 @@
                                record_target::timeline_and_log});
 }
 
+void log_caller_left(reducer_context& context, const ingress_request& request)
+{
+    emit(context,
+         record_event{
+             "caller-left",
+             {{"request", std::string{caller_request_id_of(request)}},
+              {"route", request.m_route->m_name},
+              {"waited_ms", std::to_string(to_milliseconds(context.m_now - request.m_arrived_at))},
+              {"attempts", attempt_summary_of(request)}},
+             record_target::timeline_and_log});
+}
+
 } // namespace chivevane::ingress
--- a/libraries/libpolicy/ingress/request_log.h
+++ b/libraries/libpolicy/ingress/request_log.h
@@ -14,7 +14,7 @@
 
 }
 
-/// Logs requests that fail.
+/// Logs requests that fail or whose callers leave.
 namespace chivevane::ingress {
 
 /// Returns the id that the caller gave the request, or `-` if it gave none.
@@ -34,4 +34,7 @@
 void log_failure(const host_state& self, reducer_context& context, const ingress_request& request,
                  const ingress_attempt& attempt, std::uint16_t status);
 
+/// Records the event that a caller closed its connection before its answer was complete.
+void log_caller_left(reducer_context& context, const ingress_request& request);
+
 } // namespace chivevane::ingress
