libpolicy: Fetch a document from another announcer if the first is silent

What callers saw: a confirmed change was out of force on a few hosts for more than 2 s, although the hosts around them had it. Cause: a host fetches a document from the first peer that announces it and drops the announcements that come within a second after that. If that peer can send but not receive, or dies, the host waits until a later gossip happens to come from a host that is ahead, up to 2 s more. Class: one source without an alternative. An answer says who was asked. Evidence: change_delay/a_change_is_not_late_where_its_first_announcer_cannot_ be_reached, 82 hosts, bound 2 s.

--- a/libraries/libhost/document_exchange.cpp
+++ b/libraries/libhost/document_exchange.cpp
@@ -35,10 +35,10 @@
     std::string m_body;
 };
 
-document_fetched read_answer(const std::string& name, transfer_end end,
+document_fetched read_answer(const fetch_document& command, transfer_end end,
                              const incoming_record& record, std::string_view secret)
 {
-    document_fetched answer{name, std::nullopt};
+    document_fetched answer{command.m_name, std::nullopt, nullptr, command.m_from};
     if (end == transfer_end::complete && record.m_head.m_status == 200 &&
         has_valid_signature(record.m_head.m_fields, secret, record.m_body)) {
         answer.m_document = decode_document_record(record.m_body);
@@ -88,9 +88,9 @@
         }
         return body_flow::ready;
     };
-    handlers.m_on_end = [record, name = command.m_name, secret = std::string{secret},
+    handlers.m_on_end = [record, command, secret = std::string{secret},
                          on_answer = std::move(on_answer)](transfer_end end, const std::string&) {
-        on_answer(read_answer(name, end, *record, secret));
+        on_answer(read_answer(command, end, *record, secret));
     };
     client.start(client.make_transfer_id(), std::move(request), std::move(handlers));
 }
--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -115,15 +115,17 @@
 void on_document_fetched(configuration_state& state, reducer_context& context,
                          const document_fetched& answer)
 {
-    const auto fetch = state.m_fetches.extract(answer.m_name);
-    const bool is_from_other_datacentre =
-        !fetch.empty() && fetch.mapped().m_locality == peer_locality::other_datacentre;
-    if (!fetch.empty()) {
-        record_fetch(context, answer, fetch.mapped());
+    if (const auto pending = state.m_fetches.find(answer.m_name);
+        pending != state.m_fetches.end()) {
+        record_fetch(context, answer, pending->second);
     }
     if (!answer.m_document || answer.m_document->m_name != answer.m_name) {
+        on_fetch_failed(state, context, answer.m_name, answer.m_from);
         return;
     }
+    const auto fetch = state.m_fetches.extract(answer.m_name);
+    const bool is_from_other_datacentre =
+        !fetch.empty() && fetch.mapped().m_source.m_locality == peer_locality::other_datacentre;
     if (put_in_force(state, context, *answer.m_document, answer.m_parsed_document)) {
         const auto source = is_from_other_datacentre ? announcement_source::other_datacentre
                                                      : announcement_source::peer;
@@ -175,6 +177,7 @@
     state.m_last_timer_at = context.m_now;
     refresh_peer_digests(state, members, context.m_now);
     start_deferred_fetches(state, context);
+    ask_alternatives(state, context);
     send_announcements(state, context, members);
     retry_writes(state, context);
     check_readiness(state, context, members);
@@ -268,7 +271,7 @@
     for (const auto& [name, deferred] : state.m_deferred_fetches) {
         due = std::min(due, deferred.m_due_at);
     }
-    return due;
+    return std::min(due, next_alternative_due(state));
 }
 
 } // namespace chivevane::configuration
--- a/libraries/libpolicy/configuration/configuration_events.h
+++ b/libraries/libpolicy/configuration/configuration_events.h
@@ -39,6 +39,7 @@
     std::optional<stored_document> m_document; ///< Empty if the fetch failed.
     /// The parsed document, if it was parsed outside the event loop.
     std::shared_ptr<const document> m_parsed_document;
+    host_address m_from; ///< The host that was asked.
 
     bool operator==(const document_fetched&) const = default;
 };
--- a/libraries/libpolicy/configuration/configuration_state.h
+++ b/libraries/libpolicy/configuration/configuration_state.h
@@ -35,11 +35,19 @@
 /// Whether a peer is in the data centre of this host.
 enum class peer_locality : std::uint8_t { same_datacentre, other_datacentre };
 
+/// A peer that has a document.
+struct document_source {
+    host_address m_address;
+    peer_locality m_locality = peer_locality::same_datacentre;
+};
+
 /// A fetch from a peer that is not answered yet.
 struct pending_fetch {
     document_revision m_wanted;
     instant m_requested_at;
-    peer_locality m_locality = peer_locality::same_datacentre;
+    document_source m_source;
+    /// Other peers that announced the same or a newer revision, in the order of their messages.
+    std::vector<document_source> m_alternatives;
 };
 
 /// A fetch from another data centre, delayed in case a peer in this data centre gets the document
@@ -98,7 +106,7 @@
     instant m_store_called_at;          ///< Time of the last read or watch.
     bool m_is_store_call_pending = false;
     std::uint32_t m_store_failures = 0; ///< Number of consecutive failed reads and watches.
-    bool m_is_watcher = false; ///< This host was a watcher when it last checked its role.
+    bool m_is_watcher = false;          ///< This host was a watcher when it last checked its role.
 
     instant m_started_at;
     std::optional<instant> m_confirmed_at;  ///< Time of the last confirmation by store or peers.
--- a/tests/libpolicy/change_delay_test.cpp
+++ b/tests/libpolicy/change_delay_test.cpp
@@ -1,11 +1,13 @@
 #include "libpolicy/configuration/document_record.h"
 #include "libpolicy/configuration/document_write.h"
+#include "libpolicy/configuration/store_reader.h"
 #include "libpolicy/count_from_environment.h"
 #include "libpolicy/fleet_fixture.h"
 #include "libpolicy/host_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 using namespace chivevane;
 using namespace chivevane::test;
@@ -16,6 +18,9 @@
 const std::string document_name = "blackmorass";
 constexpr std::size_t host_count = 82;
 
+/// The time in which a change has to be in force on all hosts that work normally.
+constexpr duration apply_limit = 2s;
+
 /// The time after the end of an outage within which earlier changes have to be in force.
 constexpr duration calm_period = 3s;
 
@@ -47,6 +52,17 @@
     BOOST_TEST_REQUIRE(std::holds_alternative<store_written>(written));
 }
 
+std::vector<std::size_t> watchers(const fleet& hosts)
+{
+    std::vector<std::size_t> found;
+    for (std::size_t index = 0; index < host_count; ++index) {
+        if (configuration::is_watcher(hosts.state_of(index).m_membership)) {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
 /// Returns the number of running hosts with an older revision than `revision`.
 std::size_t count_late(const fleet& hosts, std::uint64_t revision)
 {
@@ -74,10 +90,86 @@
     return count_from_environment("CHIVEVANE_DELAY_SEEDS", 30);
 }
 
+/// Makes `name` a member of the host's data centre and lets it announce a revision.
+effect_list announce_revision(host_fixture& host, const std::string& name, std::uint64_t revision)
+{
+    host_record record;
+    record.m_identity = {name, 1};
+    record.m_datacentre = host.m_host_state.m_settings.m_datacentre;
+    record.m_address.m_ip = name;
+    record.m_version = 1;
+    host.feed(datagram_received{record.m_identity, 1, {}, record});
+    return host.feed(datagram_received{
+        record.m_identity, 2, {}, document_revisions{{{document_name, revision, 0}}}});
+}
+
+/// Returns the addresses of the hosts that `effects` fetch the document from.
+std::vector<std::string> fetched_from(const effect_list& effects)
+{
+    std::vector<std::string> ips;
+    for (const auto& each : effects_of_type<fetch_document>(effects)) {
+        ips.push_back(each.m_from.m_ip);
+    }
+    return ips;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(change_delay)
 
+BOOST_AUTO_TEST_CASE(a_second_announcer_is_asked_when_the_first_is_silent_or_fails)
+{
+    const std::vector<std::string> nobody;
+    const std::vector<std::string> first{"first"};
+    const std::vector<std::string> second{"second"};
+    for (const bool is_silent : {true, false}) {
+        host_fixture host;
+        BOOST_TEST(fetched_from(announce_revision(host, "first", 2)) == first);
+        BOOST_TEST(fetched_from(announce_revision(host, "second", 2)) == nobody);
+        const auto failure = document_fetched{document_name, {}, nullptr, {"first"}};
+        const auto effects = is_silent ? host.advance(500ms) : host.feed(failure);
+        BOOST_TEST(fetched_from(effects) == second);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_not_late_where_its_first_announcer_cannot_be_reached)
+{
+    std::size_t late = 0;
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        auto hosts = running_fleet(seed);
+        const auto announcer = watchers(hosts).at(seed % 6);
+        hosts.m_drops_messages = [announcer](std::size_t, std::size_t to) {
+            return to == announcer;
+        };
+        hosts.m_watch_delay = [announcer](std::size_t host) {
+            return host == announcer ? duration{} : duration{20ms};
+        };
+        publish(hosts, 2);
+        hosts.run_for(apply_limit);
+        late += count_late(hosts, 2);
+    }
+    BOOST_TEST(late == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_not_late_where_its_first_announcer_loses_power)
+{
+    std::size_t late = 0;
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        auto hosts = running_fleet(seed);
+        const auto announcer = watchers(hosts).at(seed % 6);
+        hosts.m_watch_delay = [announcer](std::size_t host) {
+            return host == announcer ? duration{} : duration{20ms};
+        };
+        publish(hosts, 2);
+        BOOST_TEST_REQUIRE(hosts.run_until(
+            [&] { return hosts.revision(announcer, document_name) == 2; }, apply_limit));
+        hosts.kill(announcer);
+        hosts.run_for(apply_limit);
+        late += count_late(hosts, 2);
+    }
+    BOOST_TEST(late == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_change_is_not_late_after_an_outage_of_the_store)
 {
     std::size_t late = 0;
--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -190,7 +190,7 @@
     const bool is_reachable =
         target &&
         !(m_drops_messages && (m_drops_messages(from, *target) || m_drops_messages(*target, from)));
-    document_fetched answer{item.m_name, {}};
+    document_fetched answer{item.m_name, {}, nullptr, item.m_from};
     if (is_reachable) {
         const auto& settings = m_hosts[from].m_settings;
         const bool is_in_same_datacentre =
@@ -234,7 +234,10 @@
 {
     for (const auto& due : answers) {
         const bool is_failure = std::holds_alternative<store_failure>(due.m_response.m_outcome);
-        schedule(due.m_host, is_failure ? store_timeout : store_latency, due.m_response);
+        const bool is_delayed =
+            m_watch_delay && due.m_response.m_purpose == store_purpose::document_watch;
+        const auto delay = is_delayed ? m_watch_delay(due.m_host) : duration{};
+        schedule(due.m_host, (is_failure ? store_timeout : store_latency) + delay, due.m_response);
     }
 }
 
