libpolicy: Let hosts that reach the store watch it for those that do not

What callers saw: a confirmed change stayed out of force on all hosts while the store refused or missed only some of them. Cause: two hosts of each data centre watch the store for all, chosen by a hash of their names alone. If the store turns all of them away, they fail and back off; the others confirm each other, as their documents are the same, and never call the store that would answer them. Class: a duty that stays with a host that cannot do it. Change: after two failures in a row a host reports to its data centre that it has no contact with the store (a new message at the end of the list, which older builds drop), and the hosts with contact take its place as watchers. It goes on calling, and takes the duty back with the first success. If no host has contact, the choice is as before.

--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -3,6 +3,7 @@
 #include "libpolicy/configuration/document_sync.h"
 #include "libpolicy/configuration/document_write.h"
 #include "libpolicy/configuration/documents_in_force.h"
+#include "libpolicy/configuration/store_contact.h"
 #include "libpolicy/configuration/store_reader.h"
 #include "libpolicy/membership/membership.h"
 
@@ -178,6 +179,7 @@
     refresh_peer_digests(state, members, context.m_now);
     start_deferred_fetches(state, context);
     ask_alternatives(state, context);
+    send_contact_report(state, context, members);
     send_announcements(state, context, members);
     retry_writes(state, context);
     check_readiness(state, context, members);
@@ -261,7 +263,7 @@
 
 instant next_wakeup(const configuration_state& state)
 {
-    if (!state.m_announcements.empty()) {
+    if (!state.m_announcements.empty() || state.m_is_contact_report_due) {
         return instant{};
     }
     auto due = state.m_is_store_call_pending ? instant::max() : state.m_next_store_call;
--- a/libraries/libpolicy/configuration/configuration_state.h
+++ b/libraries/libpolicy/configuration/configuration_state.h
@@ -106,7 +106,12 @@
     instant m_store_called_at;          ///< Time of the last read or watch.
     bool m_is_store_call_pending = false;
     std::uint32_t m_store_failures = 0; ///< Number of consecutive failed reads and watches.
-    bool m_is_watcher = false;          ///< This host was a watcher when it last checked its role.
+    store_contact m_store_contact = store_contact::reachable; ///< Of this host.
+    bool m_is_contact_report_due = false;
+    instant m_contact_reported_at; ///< Time of the last `store_contact_report`.
+    /// Incarnations of the hosts of this data centre that cannot read the store, by host name.
+    std::map<std::string, std::uint64_t, std::less<>> m_hosts_without_store;
+    bool m_is_watcher = false; ///< This host was a watcher when it last checked its role.
 
     instant m_started_at;
     std::optional<instant> m_confirmed_at;  ///< Time of the last confirmation by store or peers.
--- /dev/null
+++ b/libraries/libpolicy/configuration/store_contact.cpp
@@ -0,0 +1,91 @@
+#include "libpolicy/configuration/store_contact.h"
+
+#include <string>
+
+namespace chivevane::configuration {
+
+namespace {
+
+/// Consecutive failures after which a host counts as without contact. A single one may be a watch
+/// that the store cut.
+constexpr std::uint32_t failures_without_contact = 2;
+
+/// Time after which an unchanged report is repeated with the next failure, as datagrams get lost.
+constexpr duration report_interval = 5s;
+
+void change_contact(configuration_state& state, reducer_context& context, store_contact contact)
+{
+    state.m_store_contact = contact;
+    state.m_is_contact_report_due = true;
+    const bool is_reachable = contact == store_contact::reachable;
+    emit(context, record_event{"store-contact",
+                               {{"contact", is_reachable ? "reachable" : "unreachable"}},
+                               record_target::timeline_and_log});
+}
+
+} // namespace
+
+void record_store_success(configuration_state& state, reducer_context& context)
+{
+    if (state.m_store_contact == store_contact::unreachable) {
+        change_contact(state, context, store_contact::reachable);
+    }
+}
+
+void record_store_failure(configuration_state& state, reducer_context& context)
+{
+    if (state.m_store_failures < failures_without_contact) {
+        return;
+    }
+    if (state.m_store_contact == store_contact::reachable) {
+        change_contact(state, context, store_contact::unreachable);
+    }
+    else if (context.m_now - state.m_contact_reported_at >= report_interval) {
+        state.m_is_contact_report_due = true;
+    }
+}
+
+void send_contact_report(configuration_state& state, reducer_context& context,
+                         const membership_state& members)
+{
+    if (!state.m_is_contact_report_due) {
+        return;
+    }
+    state.m_is_contact_report_due = false;
+    state.m_contact_reported_at = context.m_now;
+    const auto& own_record = members.m_own_record;
+    for (const auto& [name, peer] : members.m_members) {
+        const bool is_receiver = name != own_record.m_identity.m_name &&
+                                 peer.m_record.m_datacentre == own_record.m_datacentre &&
+                                 peer.m_status != member_status::dead;
+        if (is_receiver) {
+            emit(context, send_datagram{peer.m_record.m_address,
+                                        store_contact_report{state.m_store_contact}});
+        }
+    }
+}
+
+void on_store_contact_report(configuration_state& state, reducer_context& context,
+                             const host_identity& sender, const store_contact_report& report)
+{
+    if (report.m_contact == store_contact::reachable) {
+        state.m_hosts_without_store.erase(sender.m_name);
+        return;
+    }
+    state.m_hosts_without_store[sender.m_name] = sender.m_incarnation;
+    if (!state.m_is_store_call_pending && state.m_store_failures == 0) {
+        state.m_next_store_call = context.m_now; // This host may be a watcher now.
+    }
+}
+
+bool has_store_contact(const configuration_state& state, const membership_state& members,
+                       const host_identity& host)
+{
+    if (host.m_name == members.m_own_record.m_identity.m_name) {
+        return state.m_store_contact == store_contact::reachable;
+    }
+    const auto found = state.m_hosts_without_store.find(host.m_name);
+    return found == state.m_hosts_without_store.end() || found->second != host.m_incarnation;
+}
+
+} // namespace chivevane::configuration
--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -5,9 +5,11 @@
 #include "libpolicy/configuration/document_record.h"
 #include "libpolicy/configuration/document_write.h"
 #include "libpolicy/configuration/documents_in_force.h"
+#include "libpolicy/configuration/store_contact.h"
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chivevane::configuration {
 
@@ -125,17 +127,21 @@
 
 } // namespace
 
-bool is_watcher(const membership_state& members)
+bool is_watcher(const configuration_state& state, const membership_state& members)
 {
-    // Rendezvous hashing: the hosts with the highest hashes are the watchers, so that all hosts
-    // with the same view choose the same ones.
-    const auto& own = members.m_own_record.m_identity.m_name;
+    // Rendezvous hashing: of the hosts that can read the store those with the highest hashes are
+    // the watchers, so that all hosts with the same view choose the same ones.
+    const auto& own = members.m_own_record.m_identity;
     const auto& datacentre = members.m_own_record.m_datacentre;
-    const auto weight = stable_hash(own, stable_hash(datacentre));
+    const auto rank = [&](const host_identity& host) {
+        return std::pair{has_store_contact(state, members, host),
+                         stable_hash(host.m_name, stable_hash(datacentre))};
+    };
+    const auto own_rank = rank(own);
     std::size_t higher_ranked = 0;
     for (const auto& [name, peer] : members.m_members) {
-        const bool is_competitor = name != own && is_in_datacentre(peer, datacentre);
-        if (is_competitor && stable_hash(name, stable_hash(datacentre)) > weight) {
+        const bool is_competitor = name != own.m_name && is_in_datacentre(peer, datacentre);
+        if (is_competitor && rank(peer.m_record.m_identity) > own_rank) {
             ++higher_ranked;
         }
     }
@@ -157,8 +163,10 @@
     if (state.m_is_store_call_pending || now < state.m_next_store_call) {
         return;
     }
-    state.m_is_watcher = is_watcher(members);
-    const bool needs_store = !state.m_is_ready || is_isolated(state, now) || state.m_is_watcher;
+    state.m_is_watcher = is_watcher(state, members);
+    // A host without contact keeps calling, since it is the first to notice that it has contact.
+    const bool needs_store = !state.m_is_ready || is_isolated(state, now) || state.m_is_watcher ||
+                             state.m_store_contact == store_contact::unreachable;
     if (!needs_store) {
         state.m_next_store_call = now + role_check_interval;
         return;
@@ -179,9 +187,11 @@
     state.m_is_store_call_pending = false;
     if (const auto* entries = std::get_if<store_entries>(&response.m_outcome)) {
         adopt_entries(state, context, response, *entries);
+        record_store_success(state, context);
         return;
     }
     back_off(state, context);
+    record_store_failure(state, context);
     if (const auto* const failure = std::get_if<store_failure>(&response.m_outcome)) {
         record_failure(state, context, *failure);
     }
--- a/libraries/libpolicy/configuration/store_reader.h
+++ b/libraries/libpolicy/configuration/store_reader.h
@@ -19,7 +19,8 @@
 void on_read_outcome(configuration_state& state, reducer_context& context,
                      const store_response& response);
 
-/// Whether this host is one of the watchers of its data centre.
-bool is_watcher(const membership_state& members);
+/// Whether this host is one of the watchers of its data centre. Hosts that can read the store come
+/// before those that cannot.
+bool is_watcher(const configuration_state& state, const membership_state& members);
 
 } // namespace chivevane::configuration
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -3,6 +3,7 @@
 #include "libbase/result.h"
 #include "libpolicy/admission/admission.h"
 #include "libpolicy/configuration/configuration.h"
+#include "libpolicy/configuration/store_contact.h"
 #include "libpolicy/gate/gate.h"
 #include "libpolicy/gate/health_checks.h"
 #include "libpolicy/health/health.h"
@@ -174,6 +175,10 @@
                    [&](const document_revisions_request& request) {
                        configuration::on_revisions_request(self.m_configuration, context, request);
                    },
+                   [&](const store_contact_report& report) {
+                       configuration::on_store_contact_report(self.m_configuration, context, sender,
+                                                              report);
+                   },
                    [&](const token_request& request) {
                        limits::on_token_request(self.m_limits.m_metering, context,
                                                 self.m_membership, sender, request);
--- a/libraries/libwire/membership_messages.h
+++ b/libraries/libwire/membership_messages.h
@@ -180,4 +180,20 @@
     }
 };
 
+/// Whether a host can read the store.
+enum class store_contact : std::uint8_t { reachable, unreachable };
+
+/// Reports to the hosts of the sender's data centre whether the sender can read the store.
+struct store_contact_report {
+    store_contact m_contact = store_contact::reachable;
+
+    bool operator==(const store_contact_report&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_contact);
+    }
+};
+
 } // namespace chivevane
--- a/libraries/libwire/message.h
+++ b/libraries/libwire/message.h
@@ -16,6 +16,7 @@
     std::variant<host_record, document_revisions, loan_request, loan_response,
                  cancel_attempt_request, cancel_attempt_response, crash_report, health_report,
                  loan_report, share_lease_request, share_lease_response, gossip, probe, probe_ack,
-                 host_record_request, document_revisions_request, token_request, token_response>;
+                 host_record_request, document_revisions_request, token_request, token_response,
+                 store_contact_report>;
 
 } // namespace chivevane
--- a/tests/libpolicy/change_delay_test.cpp
+++ b/tests/libpolicy/change_delay_test.cpp
@@ -5,6 +5,7 @@
 #include "libpolicy/fleet_fixture.h"
 #include "libpolicy/host_fixture.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -56,7 +57,8 @@
 {
     std::vector<std::size_t> found;
     for (std::size_t index = 0; index < host_count; ++index) {
-        if (configuration::is_watcher(hosts.state_of(index).m_membership)) {
+        if (configuration::is_watcher(hosts.state_of(index).m_configuration,
+                                      hosts.state_of(index).m_membership)) {
             found.push_back(index);
         }
     }
@@ -186,4 +188,22 @@
     BOOST_TEST(late == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_change_is_not_late_where_all_watchers_are_hidden_from_the_store)
+{
+    std::size_t late = 0;
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        auto hosts = running_fleet(seed);
+        const auto hidden = watchers(hosts);
+        hosts.m_is_partitioned_from_store = [hidden](std::size_t host) {
+            return std::find(hidden.begin(), hidden.end(), host) != hidden.end();
+        };
+        hosts.cut_watches();
+        hosts.run_for(calm_period);
+        publish(hosts, 2);
+        hosts.run_for(apply_limit);
+        late += count_late(hosts, 2);
+    }
+    BOOST_TEST(late == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
