libhost: Send no request on whose caller has left unnoticed

What callers saw: work went on for callers that had left. Cause: a process that lags reads a request and hands it on in the same turn of its loop, before it reads the close that has arrived behind it. So a request reaches its gate, and there its upstream, however long ago its caller left; the same holds for attempts that waited at a gate while their ingress closed the connection. Class: acting on input before looking at what has arrived with it. Change: before a request is sent on, the server checks whether its caller has closed the connection. If so it closes its side, the transfer ends as caller_left, the ingress drops the request, and the gate records the attempt as not run without blaming the upstream.

--- a/libraries/libhost/transfer_runner.cpp
+++ b/libraries/libhost/transfer_runner.cpp
@@ -31,6 +31,11 @@
                                    "the caller closed the connection"});
         return;
     }
+    if (has_body && exchange->second.m_server->close_if_left(command.m_exchange)) {
+        m_transfers[id] = {};
+        m_on_update(transfer_ended{id, transfer_end::caller_left, 0, "the caller has left"});
+        return;
+    }
     outgoing_request request;
     request.m_ip = command.m_ip;
     request.m_port = command.m_port;
--- a/libraries/libhttp/answer_writer.h
+++ b/libraries/libhttp/answer_writer.h
@@ -35,6 +35,10 @@
 
     /// Closes the connection, so that the caller can tell that the answer is incomplete.
     virtual void abort(std::uint64_t exchange) = 0;
+
+    /// Closes the connection of an exchange if the caller has closed it already, which the server
+    /// may not have read yet. Returns whether the caller has left.
+    virtual bool close_if_left(std::uint64_t exchange) = 0;
 };
 
 } // namespace chivevane
--- a/libraries/libhttp/http_server.h
+++ b/libraries/libhttp/http_server.h
@@ -49,6 +49,7 @@
                std::function<void(bool)> on_written) override;
     void finish(std::uint64_t exchange) override;
     void abort(std::uint64_t exchange) override;
+    bool close_if_left(std::uint64_t) override { return false; }
 
 private:
     class implementation;
--- a/libraries/libhttp/traffic_connection.cpp
+++ b/libraries/libhttp/traffic_connection.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <asio/write.hpp>
+#include <cerrno>
 #include <fmt/format.h>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -74,6 +76,17 @@
     }
 }
 
+bool traffic_connection::close_if_left()
+{
+    char next = 0;
+    const auto size = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool is_waiting = size < 0 && (errno == EAGAIN || errno == EINTR);
+    if (size <= 0 && !is_waiting) {
+        close_now();
+    }
+    return m_is_closed;
+}
+
 bool traffic_connection::is_idle() const
 {
     return m_pending_answers.empty() && m_writing.empty() && m_input.empty() &&
--- a/libraries/libhttp/traffic_connection.h
+++ b/libraries/libhttp/traffic_connection.h
@@ -48,6 +48,10 @@
     /// Closes the connection if no request is in progress.
     void close_if_idle();
 
+    /// Closes the connection if the peer has closed it and all that it sent before was read.
+    /// Returns whether the connection is closed.
+    bool close_if_left();
+
     void respond(std::uint64_t exchange, const response_head& head, std::string body);
     void begin(std::uint64_t exchange, const response_head& head);
     void write(std::uint64_t exchange, std::string part, std::function<void(bool)> on_written);
--- a/libraries/libhttp/traffic_server.cpp
+++ b/libraries/libhttp/traffic_server.cpp
@@ -237,4 +237,10 @@
     }
 }
 
+bool traffic_server::close_if_left(std::uint64_t exchange)
+{
+    const auto connection = m_implementation->connection_of(exchange);
+    return connection && connection->close_if_left();
+}
+
 } // namespace chivevane
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -381,6 +381,10 @@
 void on_transfer_ended(host_state& self, reducer_context& context, const transfer_ended& end)
 {
     const attempt_id id = self.m_gate.m_by_transfer.at(end.m_transfer);
+    if (end.m_end == transfer_end::caller_left) {
+        end_run(self, context, id, execution_status::not_run); // Nobody awaits an answer.
+        return;
+    }
     if (self.m_gate.m_attempts.at(id).m_phase == gate_phase::relaying) {
         end_relay(self, context, id, end);
     }
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -247,6 +247,10 @@
 void on_transfer_ended(host_state& self, reducer_context& context, const transfer_ended& end)
 {
     const auto reference = find_by_transfer(self.m_ingress, end.m_transfer);
+    if (end.m_end == transfer_end::caller_left) {
+        on_caller_disconnected(self, context, reference.m_request.m_exchange);
+        return;
+    }
     if (reference.m_attempt.m_phase == attempt_phase::answered) {
         handle_relay_end(self, context, reference, end);
         return;
--- a/libraries/libwire/transfer.h
+++ b/libraries/libwire/transfer.h
@@ -11,6 +11,7 @@
     connection_lost, ///< The connection failed after the request may have been sent.
     truncated,       ///< The response body ended before its declared length or within a chunk.
     stalled,         ///< No byte was received for the duration of the stall timeout.
+    caller_left,     ///< The caller had left, so the request was not sent.
 };
 
 /// Whether an outgoing request may reuse an idle connection.
--- a/tests/libhost/buffered_body_test.cpp
+++ b/tests/libhost/buffered_body_test.cpp
@@ -36,7 +36,9 @@
     }
     void finish(std::uint64_t) override {}
     void abort(std::uint64_t) override {}
+    bool close_if_left(std::uint64_t) override { return m_has_caller_left; }
 
+    bool m_has_caller_left = false;
     std::uint16_t m_status = 0;
     std::string m_body;
 };
@@ -116,4 +118,13 @@
     BOOST_TEST((std::get<transfer_ended>(m_updates[0]).m_end == transfer_end::connect_failed));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_has_left_unnoticed_is_reported_and_not_sent)
+{
+    m_writer.m_has_caller_left = true;
+    start(0);
+    BOOST_TEST(m_sender.m_sent.empty());
+    BOOST_TEST_REQUIRE(m_updates.size() == 1U);
+    BOOST_TEST((std::get<transfer_ended>(m_updates[0]).m_end == transfer_end::caller_left));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -100,6 +100,17 @@
     BOOST_TEST(*find_field(fields, gate_clock_field) == std::to_string(reading()));
 }
 
+BOOST_AUTO_TEST_CASE(an_attempt_that_was_not_sent_as_its_ingress_left_is_known_not_to_have_run)
+{
+    const auto id = next_attempt();
+    const auto started = effects_of_type<start_transfer>(send(id, reading()));
+    BOOST_TEST_REQUIRE(started.size() == 1U);
+    feed(transfer_ended{started[0].m_transfer, transfer_end::caller_left, 0, {}});
+    BOOST_TEST((request_cancellation(id, reading()) == execution_status::not_run));
+    const auto& upstream = m_host_state.m_admission.m_upstreams.at("permits-1");
+    BOOST_TEST(upstream.m_running == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_full_gate_refuses_with_an_unknown_outcome)
 {
     auto& statuses = m_host_state.m_gate.m_tombstones.m_statuses;
