libpolicy: Start no more on an upstream than the rate that it names

What callers saw: nothing; the upstreams in need did: more requests than the limit that they had named in their answers. Cause: nobody read the limit. The gate bounds how many requests run at once and, while an upstream is cold, how many start in a second; an upstream that says in its answers how many it takes had no way to be heard. Class: a statement of a peer that is passed on and not acted upon. Change: the gate reads the rate from each answer and keeps a token bucket with that rate and half a second of burst beside the other admission bounds. As every request for an upstream passes its one gate, the bound holds over all hosts. Starts of the last 2 s before a rate is named count, so a gate that has restarted does not start over. The wait that the rate brings counts in the decision whether a request may be queued. The limit ends with an answer to a later request that names none, or with a restart of the upstream.

--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -65,7 +65,8 @@
 bool has_room(upstream_admission& upstream, instant now)
 {
     return upstream.m_running < concurrency_of(upstream) &&
-           now >= upstream.m_limit.m_paused_until && may_start_by_rate(upstream, now);
+           now >= upstream.m_limit.m_paused_until && may_start_by_rate(upstream, now) &&
+           may_start(upstream.m_accepted_rate, now);
 }
 
 /// Whether the upstream has capacity to spare.
@@ -79,12 +80,16 @@
 instant next_start_by_rate(const upstream_admission& upstream)
 {
     const auto [limit, since] = start_limit_of(upstream);
-    return is_rate_limited(upstream) ? next_start(upstream.m_starts, limit, since) : instant{};
+    const auto accepted_at = next_start(upstream.m_accepted_rate);
+    return is_rate_limited(upstream)
+               ? std::max(accepted_at, next_start(upstream.m_starts, limit, since))
+               : accepted_at;
 }
 
 void record_started(upstream_admission& upstream, instant now)
 {
     ++upstream.m_running;
+    record_start(upstream.m_accepted_rate, now);
     if (is_rate_limited(upstream)) {
         record_start(upstream.m_starts, now);
     }
@@ -114,14 +119,17 @@
 {
     const auto ahead =
         static_cast<std::int64_t>(count_ahead(upstream.m_queue, flow_of(attempt), now));
+    const auto wait_by_rate = time_for_starts(upstream.m_accepted_rate, ahead);
     if (is_rate_limited(upstream)) {
         const auto mean = from_seconds(upstream.m_mean_run_s);
         const auto own = attempt.m_expected_run == duration{} ? mean : attempt.m_expected_run;
+        const duration wait = mean * (ahead + 1) / concurrency_of(upstream);
         return now + from_seconds(to_seconds(own) * run_time_margin_factor) +
-               mean * (ahead + 1) / concurrency_of(upstream);
+               std::max(wait_by_rate, wait);
     }
     const auto typical = typical_latency(upstream.m_limit);
-    return now + typical + typical * ahead / concurrency_of(upstream);
+    const duration wait = typical * ahead / concurrency_of(upstream);
+    return now + typical + std::max(wait_by_rate, wait);
 }
 
 bool may_wait(const upstream_admission& upstream, const queued_attempt& attempt, instant now)
@@ -142,6 +150,9 @@
     set_slots(upstream.m_limit, slots);
     const bool became_cold =
         upstream.m_announced == warm_up_state::warm && announced == warm_up_state::cold;
+    if (run == announced_run::new_run) {
+        set_rate(upstream.m_accepted_rate, std::nullopt, now);
+    }
     if (is_new || became_cold || run == announced_run::new_run) {
         reset_for_cold_upstream(upstream.m_limit, now);
     }
@@ -155,6 +166,14 @@
     }
 }
 
+void set_accepted_rate(admission_state& state, std::string_view endpoint,
+                       std::optional<double> rate, instant now)
+{
+    if (const auto found = state.m_upstreams.find(endpoint); found != state.m_upstreams.end()) {
+        set_rate(found->second.m_accepted_rate, rate, now);
+    }
+}
+
 bool needs_confirmation(admission_state& state, std::string_view endpoint, instant now)
 {
     const auto found = state.m_upstreams.find(endpoint);
--- a/libraries/libpolicy/admission/admission.h
+++ b/libraries/libpolicy/admission/admission.h
@@ -5,6 +5,7 @@
 #include "libwire/upstream_summary.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -32,6 +33,10 @@
 /// Sets the start rates that the upstream tolerates while it is cold.
 void set_cold_bounds(admission_state& state, std::string_view endpoint, const cold_bounds& bounds);
 
+/// Sets the starts per second that the upstream accepts, or removes the limit.
+void set_accepted_rate(admission_state& state, std::string_view endpoint,
+                       std::optional<double> rate, instant now);
+
 /// Whether so many attempts have started since the upstream was last confirmed warm that its
 /// warm-up state needs confirmation again. Without one it gets no more starts than a cold upstream
 /// tolerates, as it may have become cold unnoticed.
--- a/libraries/libpolicy/admission/admission_state.h
+++ b/libraries/libpolicy/admission/admission_state.h
@@ -3,6 +3,7 @@
 #include "libpolicy/admission/concurrency_limit.h"
 #include "libpolicy/admission/fair_queue.h"
 #include "libpolicy/admission/queued_attempt.h"
+#include "libpolicy/admission/start_rate_limit.h"
 #include "libpolicy/admission/start_window.h"
 #include "libwire/upstream_summary.h"
 
@@ -30,7 +31,8 @@
     /// The upstream was confirmed warm at some moment not before this one. Starts up to it did no
     /// harm. The upstream may have become cold since.
     instant m_confirmed_warm_at = instant::min();
-    admission::start_window m_starts; ///< Used only with a configured start rate.
+    admission::start_window m_starts;            ///< Used only with a configured start rate.
+    admission::start_rate_limit m_accepted_rate; ///< The limit that the upstream named.
     admission::fair_queue m_queue;
 };
 
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -9,6 +9,7 @@
 #include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/gate/run_outcomes.h"
 #include "libpolicy/gate/running_attempts.h"
+#include "libpolicy/gate/upstream_statements.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/is_idempotent.h"
 #include "libpolicy/membership/membership.h"
@@ -342,6 +343,9 @@
     auto& state = self.m_gate;
     const attempt_id id = state.m_by_transfer.at(answer.m_transfer);
     auto& attempt = state.m_attempts.at(id);
+    if (!answers_other_request(answer.m_head, id)) {
+        apply_statements(self, context, attempt, answer.m_head);
+    }
     if (find_field(answer.m_head.m_fields, not_run_field)) {
         end_refused_by_upstream(self, context, id, answer);
         return;
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -19,6 +19,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -36,6 +37,8 @@
     /// Another endpoint answered at its address (status 421). It gets no attempts until it
     /// announces itself again.
     bool m_is_replaced = false;
+    std::optional<double> m_named_rate; ///< Requests per second that it accepts, by its answers.
+    instant m_rate_named_at;            ///< When an answer last named a rate.
 };
 
 /// Phase of an attempt at the gate.
--- a/libraries/libpolicy/gate/local_upstreams.cpp
+++ b/libraries/libpolicy/gate/local_upstreams.cpp
@@ -23,6 +23,7 @@
     if (is_new) {
         upstream.m_repeat_budget = 1;
         upstream.m_circuit = {};
+        upstream.m_named_rate.reset();
     }
     upstream.m_is_replaced = false;
     upstream.m_latest = announcement;
--- /dev/null
+++ b/libraries/libpolicy/gate/upstream_statements.cpp
@@ -0,0 +1,71 @@
+#include "libpolicy/gate/upstream_statements.h"
+
+#include "libpolicy/admission/admission.h"
+#include "libpolicy/host_state.h"
+
+#include <charconv>
+#include <cmath>
+#include <fmt/format.h>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace chivevane::gate {
+
+namespace {
+
+/// Requests per second that the upstream accepts, as a decimal number.
+constexpr std::string_view rate_field = "X-Accepted-Rate";
+
+/// Returns the rate that an answer names; empty if it names none or none that can be read.
+std::optional<double> rate_of(const response_head& head)
+{
+    const auto text = find_field(head.m_fields, rate_field).value_or("");
+    double rate = 0;
+    const auto* end = text.data() + text.size();
+    const auto [stop, problem] = std::from_chars(text.data(), end, rate);
+    const bool is_valid = !text.empty() && problem == std::errc{} && stop == end;
+    return is_valid && std::isfinite(rate) && rate >= 0 ? std::optional{rate} : std::nullopt;
+}
+
+void record_rate(reducer_context& context, std::string_view endpoint, std::optional<double> rate)
+{
+    emit(context, record_event{"upstream-rate-changed",
+                               {{"endpoint", std::string{endpoint}},
+                                {"rate", rate ? fmt::format("{:.2f}", *rate) : "unlimited"}},
+                               record_target::timeline_and_log});
+}
+
+void apply_rate(host_state& self, reducer_context& context, local_upstream& upstream,
+                const gate_attempt& attempt, std::optional<double> rate)
+{
+    // An answer without a rate ends the limit only if its request was handed over after the rate
+    // was last named, since answers overtake each other.
+    if (!rate && (!upstream.m_named_rate || attempt.m_handed_over_at < upstream.m_rate_named_at)) {
+        return;
+    }
+    if (rate) {
+        upstream.m_rate_named_at = context.m_now;
+    }
+    if (rate != upstream.m_named_rate) {
+        upstream.m_named_rate = rate;
+        record_rate(context, attempt.m_metadata.m_endpoint, rate);
+        admission::set_accepted_rate(self.m_admission, attempt.m_metadata.m_endpoint, rate,
+                                     context.m_now);
+    }
+}
+
+} // namespace
+
+void apply_statements(host_state& self, reducer_context& context, const gate_attempt& attempt,
+                      const response_head& head)
+{
+    const auto found = self.m_gate.m_upstreams.find(attempt.m_metadata.m_endpoint);
+    const bool is_of_this_run = found != self.m_gate.m_upstreams.end() &&
+                                found->second.m_latest.m_run == attempt.m_upstream_run;
+    if (is_of_this_run) {
+        apply_rate(self, context, found->second, attempt, rate_of(head));
+    }
+}
+
+} // namespace chivevane::gate
--- /dev/null
+++ b/libraries/libpolicy/gate/upstream_statements.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "libpolicy/gate/gate_state.h"
+#include "libpolicy/reducer_context.h"
+#include "libwire/response_head.h"
+
+#include <cstdint>
+
+namespace chivevane {
+
+struct host_state;
+
+}
+
+/// What upstreams say of themselves in the heads of their answers: the rate of requests that they
+/// accept from all hosts together.
+namespace chivevane::gate {
+
+/// Applies what the answer to `attempt` says of its upstream.
+void apply_statements(host_state& self, reducer_context& context, const gate_attempt& attempt,
+                      const response_head& head);
+
+} // namespace chivevane::gate
--- a/tests/platform/header_translation_test.cpp
+++ b/tests/platform/header_translation_test.cpp
@@ -108,4 +108,16 @@
     BOOST_TEST(value(head.m_fields, "X-Cold-Ms") == "1500");
 }
 
+BOOST_AUTO_TEST_CASE(the_accepted_rate_is_read_and_passed_on_as_the_upstream_wrote_it)
+{
+    const auto head = read(200, {m_echo, m_signature, {"Server-Limit", "2.5"}});
+    BOOST_TEST_REQUIRE(head.has_value());
+    BOOST_TEST(value(head->m_fields, "X-Accepted-Rate") == "2.5");
+    const auto answer = write_caller_answer(m_request, *head);
+    BOOST_TEST(value(answer.m_fields, "Server-Limit") == "2.5");
+    BOOST_TEST(value(answer.m_fields, "X-Accepted-Rate") == "(none)");
+    const auto forged = read(200, {m_echo, m_signature, {"X-Accepted-Rate", "1"}});
+    BOOST_TEST(value(forged->m_fields, "X-Accepted-Rate") == "(none)");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
