libhttp: End an answer whose framing does not end

What callers saw: nothing yet; an upstream in trouble may send bytes without end that are no answer. Cause: the size of a chunk and the trailer are kept until they are complete, without a bound. As long as bytes come the transfer does not count as stalled, so memory grows until the attempt's deadline. Heads have a bound of 64 KB. Change: more than 64 KB that are neither head nor body end the transfer as truncated. Evidence: traffic/bytes_without_end_in_a_head_or_in_the_framing_of_a_body_end_ the_transfer. Before: the four heads ended, the three bodies only when the upstream fell silent (stalled). After: all seven end at once. Conclusion: fixed.

--- a/libraries/libhttp/outgoing_connection.cpp
+++ b/libraries/libhttp/outgoing_connection.cpp
@@ -16,6 +16,10 @@
 
 constexpr message_limits answer_limits{64 * 1024, 0};
 
+/// Bytes that may wait for the end of a chunk's size or of the trailer. Bytes of the body itself do
+/// not wait.
+constexpr std::size_t max_unparsed_size = 64 * 1024;
+
 /// An idle connection is not reused within this time before the peer's keep-alive timeout, so that
 /// a request is seldom sent on a connection that the peer is closing.
 constexpr duration keep_alive_margin = 1s;
@@ -197,9 +201,14 @@
         return;
     }
     finish_if_complete();
-    if (m_epoch == epoch && m_transfer != 0) {
-        read();
+    if (m_epoch != epoch || m_transfer == 0) {
+        return;
     }
+    if (m_input.size() > max_unparsed_size) {
+        fail(transfer_end::truncated, "the framing of the answer's body does not end");
+        return;
+    }
+    read();
 }
 
 /// Reports the head once it is complete. Returns false as long as it has not been reported.
--- a/tests/libhttp/traffic_test.cpp
+++ b/tests/libhttp/traffic_test.cpp
@@ -231,4 +231,25 @@
     BOOST_TEST(log.m_body == "ok");
 }
 
+BOOST_AUTO_TEST_CASE(bytes_without_end_in_a_head_or_in_the_framing_of_a_body_end_the_transfer)
+{
+    const std::string endless(1024 * 1024, '1');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::string> heads{endless, "HTTP/1.1 200 " + endless,
+                                         "HTTP/1.1 200 OK\r\nX-A: " + endless,
+                                         "HTTP/1.1 200 OK\r\n" + endless};
+    const std::vector<std::string> bodies{chunked + endless, chunked + "1;" + endless,
+                                          chunked + "1\r\na\r\n0\r\nX-A: " + endless};
+    for (const auto& bytes : heads) {
+        serve_raw(bytes, raw_end::keep);
+        BOOST_TEST((exchange(get("/"), {}, raw_port).m_end == transfer_end::connection_lost));
+    }
+    for (const auto& bytes : bodies) {
+        serve_raw(bytes, raw_end::keep);
+        const auto log = exchange(get("/"), {}, raw_port);
+        BOOST_TEST(
+            (log.m_end == transfer_end::truncated || log.m_end == transfer_end::connection_lost));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
