libpolicy: Give no more attempts to an upstream that says it is leaving

Cause: an upstream that leaves says so in all its answers. Until its next announcement, or without one, its gate went on starting attempts on it. Change: the gate reads the statement, refuses what waits as not run, starts nothing more in this run of the upstream, and publishes it as draining. Announcements do not take that back, since they may have been sent before. Conclusion: the statement acts at once and at the one gate.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -345,6 +345,9 @@
     auto& attempt = state.m_attempts.at(id);
     if (!answers_other_request(answer.m_head, id)) {
         apply_statements(self, context, attempt, answer.m_head);
+        if (is_leaving(state, attempt.m_metadata.m_endpoint)) {
+            refuse_queued(self, context, attempt.m_metadata.m_endpoint);
+        }
     }
     if (find_field(answer.m_head.m_fields, not_run_field)) {
         end_refused_by_upstream(self, context, id, answer);
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -37,6 +37,9 @@
     /// Another endpoint answered at its address (status 421). It gets no attempts until it
     /// announces itself again.
     bool m_is_replaced = false;
+    /// An answer of this run says that the upstream is leaving. Announcements do not change that,
+    /// since they may be older.
+    bool m_has_said_leaving = false;
     std::optional<double> m_named_rate; ///< Requests per second that it accepts, by its answers.
     instant m_rate_named_at;            ///< When an answer last named a rate.
 };
--- a/libraries/libpolicy/gate/local_upstreams.cpp
+++ b/libraries/libpolicy/gate/local_upstreams.cpp
@@ -24,6 +24,7 @@
         upstream.m_repeat_budget = 1;
         upstream.m_circuit = {};
         upstream.m_named_rate.reset();
+        upstream.m_has_said_leaving = false;
     }
     upstream.m_is_replaced = false;
     upstream.m_latest = announcement;
@@ -64,8 +65,9 @@
     for (const auto& [endpoint, upstream] : self.m_gate.m_upstreams) {
         const auto load = admission::load_of(self.m_admission, endpoint);
         const auto& latest = upstream.m_latest;
+        const auto phase = upstream.m_has_said_leaving ? upstream_phase::draining : latest.m_phase;
         summaries.push_back({endpoint, latest.m_service, latest.m_slots, load.m_concurrency,
-                             load.m_queued, latest.m_warm_up_state, latest.m_phase});
+                             load.m_queued, latest.m_warm_up_state, phase});
     }
     membership::set_own_upstreams(self.m_membership, std::move(summaries));
 }
@@ -74,6 +76,7 @@
 {
     const auto found = state.m_upstreams.find(endpoint);
     const bool is_serving = found != state.m_upstreams.end() && !found->second.m_is_replaced &&
+                            !found->second.m_has_said_leaving &&
                             found->second.m_latest.m_phase == upstream_phase::serving;
     return is_serving ? &found->second : nullptr;
 }
--- a/libraries/libpolicy/gate/upstream_statements.cpp
+++ b/libraries/libpolicy/gate/upstream_statements.cpp
@@ -1,6 +1,7 @@
 #include "libpolicy/gate/upstream_statements.h"
 
 #include "libpolicy/admission/admission.h"
+#include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/host_state.h"
 
 #include <charconv>
@@ -17,6 +18,9 @@
 /// Requests per second that the upstream accepts, as a decimal number.
 constexpr std::string_view rate_field = "X-Accepted-Rate";
 
+/// `1` if the upstream is leaving and accepts no new requests.
+constexpr std::string_view leaving_field = "X-Leaving";
+
 /// Returns the rate that an answer names; empty if it names none or none that can be read.
 std::optional<double> rate_of(const response_head& head)
 {
@@ -55,6 +59,19 @@
     }
 }
 
+void apply_leaving(host_state& self, reducer_context& context, local_upstream& upstream,
+                   const std::string& endpoint)
+{
+    if (upstream.m_has_said_leaving) {
+        return;
+    }
+    upstream.m_has_said_leaving = true;
+    emit(context, record_event{"upstream-says-leaving",
+                               {{"endpoint", endpoint}},
+                               record_target::timeline_and_log});
+    publish_upstreams(self);
+}
+
 } // namespace
 
 void apply_statements(host_state& self, reducer_context& context, const gate_attempt& attempt,
@@ -63,9 +80,19 @@
     const auto found = self.m_gate.m_upstreams.find(attempt.m_metadata.m_endpoint);
     const bool is_of_this_run = found != self.m_gate.m_upstreams.end() &&
                                 found->second.m_latest.m_run == attempt.m_upstream_run;
-    if (is_of_this_run) {
-        apply_rate(self, context, found->second, attempt, rate_of(head));
+    if (!is_of_this_run) {
+        return;
+    }
+    apply_rate(self, context, found->second, attempt, rate_of(head));
+    if (find_field(head.m_fields, leaving_field) == "1") {
+        apply_leaving(self, context, found->second, found->first);
     }
 }
 
+bool is_leaving(const gate_state& state, std::string_view endpoint)
+{
+    const auto found = state.m_upstreams.find(endpoint);
+    return found != state.m_upstreams.end() && found->second.m_has_said_leaving;
+}
+
 } // namespace chivevane::gate
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -111,6 +111,23 @@
     BOOST_TEST(upstream.m_running == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_says_that_it_is_leaving_gets_no_more_attempts)
+{
+    const auto id = next_attempt();
+    const auto started = effects_of_type<start_transfer>(send(id, reading()));
+    BOOST_TEST_REQUIRE(started.size() == 1U);
+    BOOST_TEST(effects_of_type<respond>(send(next_attempt(), reading())).empty()); // It is queued.
+    const response_head head{200, {{"X-Request-Id", to_string(id)}, {"X-Leaving", "1"}}};
+    const auto effects = feed(transfer_head{started[0].m_transfer, head});
+    BOOST_TEST(effects_of_type<relay_transfer>(effects).size() == 1U);
+    BOOST_TEST(execution_status_of(effects) == "not-run");
+    BOOST_TEST(execution_status_of(send(next_attempt(), reading())) == "not-run");
+    announce("permits-1", "permits"); // Sent before it began to leave.
+    BOOST_TEST(execution_status_of(send(next_attempt(), reading())) == "not-run");
+    const auto& own = m_host_state.m_membership.m_own_record.m_upstreams;
+    BOOST_TEST((own.at(0).m_phase == upstream_phase::draining));
+}
+
 BOOST_AUTO_TEST_CASE(a_full_gate_refuses_with_an_unknown_outcome)
 {
     auto& statuses = m_host_state.m_gate.m_tombstones.m_statuses;
--- a/tests/platform/header_translation_test.cpp
+++ b/tests/platform/header_translation_test.cpp
@@ -120,4 +120,14 @@
     BOOST_TEST(value(forged->m_fields, "X-Accepted-Rate") == "(none)");
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_says_that_it_is_leaving_is_read_and_passed_on)
+{
+    const auto head = read(200, {m_echo, m_signature, {"Server-Leaving", "1"}});
+    BOOST_TEST_REQUIRE(head.has_value());
+    BOOST_TEST(value(head->m_fields, "X-Leaving") == "1");
+    const auto answer = write_caller_answer(m_request, *head);
+    BOOST_TEST(value(answer.m_fields, "Server-Leaving") == "1");
+    BOOST_TEST(value(answer.m_fields, "X-Leaving") == "(none)");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
