libhttp: Notice silent connections of the store's client

What callers saw: nothing yet. A watch of the store on a connection that has gone silent was given up after 9.5 s only; if this happens to all watchers at once, a confirmed change is not noticed for that long. Cause: connections between hosts and to upstreams have keep-alive probes and a user timeout; those of the client for the store and for documents had none. Class: waiting on one silent counterpart. Change: the same options for all sockets that libcurl opens: a silent peer is noticed after about 3 s. Evidence: http/a_connection_that_falls_silent_is_noticed_while_an_answer_is_ awaited reads the system's list of connections. Before: no keep-alive timer.

--- a/libraries/libhttp/curl_transfer.cpp
+++ b/libraries/libhttp/curl_transfer.cpp
@@ -1,6 +1,7 @@
 #include "libhttp/curl_transfer.h"
 
 #include "libbase/clock.h"
+#include "libhttp/tcp_options.h"
 
 #include <algorithm>
 #include <cassert>
@@ -87,6 +88,14 @@
     return ++transfer.m_send_count == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+/// Lets the system notice when the connection has gone silent, also while the answer of a watch is
+/// awaited for seconds.
+int on_socket_opened(void*, curl_socket_t descriptor, curlsocktype)
+{
+    set_traffic_options(descriptor);
+    return CURL_SOCKOPT_OK;
+}
+
 /// Builds the list of request fields and suppresses those that libcurl would add by itself.
 curl_list make_field_list(const request_head& head)
 {
@@ -145,6 +154,7 @@
     set_option(transfer, CURLOPT_FRESH_CONNECT,
                request.m_connection_reuse == connection_reuse::forbidden ? 1L : 0L);
     set_option(transfer, CURLOPT_MAXAGE_CONN, max_idle_connection_age_s);
+    set_option(transfer, CURLOPT_SOCKOPTFUNCTION, &on_socket_opened);
     set_option(transfer, CURLOPT_HTTPHEADER, transfer.m_fields.get());
     set_option(transfer, CURLOPT_HEADERFUNCTION, &on_header_line);
     set_option(transfer, CURLOPT_HEADERDATA, static_cast<void*>(&transfer));
--- a/libraries/libhttp/tcp_options.h
+++ b/libraries/libhttp/tcp_options.h
@@ -9,4 +9,7 @@
 /// skipped.
 void set_traffic_options(asio::ip::tcp::socket& socket);
 
+/// The same for a socket of another owner.
+void set_traffic_options(int descriptor);
+
 } // namespace chivevane
--- a/tests/libhttp/http_test.cpp
+++ b/tests/libhttp/http_test.cpp
@@ -1,6 +1,9 @@
 #include "libhttp/loopback_fixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <sstream>
+#include <string>
 
 using namespace chivevane;
 using namespace chivevane::test;
@@ -17,6 +20,28 @@
     return {"POST", target, {{"Host", "a"}}};
 }
 
+/// Whether the system sends keep-alive probes on an open connection to the server, by the timer
+/// that it lists for the connection.
+bool has_keep_alive_timer()
+{
+    std::ifstream connections{"/proc/net/tcp"};
+    for (std::string line; std::getline(connections, line);) {
+        std::istringstream words{line};
+        std::string slot;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        std::string timer;
+        words >> slot >> local >> remote >> state >> queues >> timer;
+        const bool is_to_server = remote == "0108007F:445C"; // 127.0.8.1:17500
+        if (is_to_server && state == "01" && timer.starts_with("02:")) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(http, loopback_fixture)
@@ -56,6 +81,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_that_falls_silent_is_noticed_while_an_answer_is_awaited)
+{
+    m_serve = [](const received_request&) {};
+    transfer_log log;
+    start(get("/"), {}, log);
+    BOOST_TEST(run_until([this] { return m_requests.size() == 1; }));
+    BOOST_TEST(has_keep_alive_timer());
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_answer_is_never_complete)
 {
     for (const bool is_sized : {true, false}) {
