--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -1,5 +1,6 @@
 #include "libpolicy/configuration/configuration.h"
 
+#include "libpolicy/configuration/document_fetch.h"
 #include "libpolicy/configuration/document_sync.h"
 #include "libpolicy/configuration/document_write.h"
 #include "libpolicy/configuration/documents_in_force.h"
--- a/libraries/libpolicy/configuration/document_sync.h
+++ b/libraries/libpolicy/configuration/document_sync.h
@@ -24,19 +24,6 @@
                       const host_address& address, peer_locality locality,
                       const document_revisions& revisions);
 
-/// Starts the delayed fetches that are due and whose documents are still newer than those in force.
-void start_deferred_fetches(configuration_state& state, reducer_context& context);
-
-/// Fetches documents from further peers where the peer that was asked does not answer in time.
-void ask_alternatives(configuration_state& state, reducer_context& context);
-
-/// Fetches the document from another peer that announced it, if the last fetch went to `from`.
-void on_fetch_failed(configuration_state& state, reducer_context& context, const std::string& name,
-                     const host_address& from);
-
-/// Returns when `ask_alternatives` has to be called; `instant::max()` if nothing is pending.
-instant next_alternative_due(const configuration_state& state);
-
 /// Announces documents that came in force to peers.
 void send_announcements(configuration_state& state, reducer_context& context,
                         const membership_state& members);
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -197,32 +197,6 @@
     end_run(self, context, id, execution_status::may_have_run);
 }
 
-std::string_view to_string(gate_phase phase)
-{
-    switch (phase) {
-    case gate_phase::held:
-        return "held";
-    case gate_phase::queued:
-        return "queued";
-    case gate_phase::running:
-        return "running";
-    case gate_phase::relaying:
-        return "relaying";
-    }
-    return "unknown";
-}
-
-void log_abandoned(reducer_context& context, const gate_attempt& attempt)
-{
-    emit(context,
-         record_event{"attempt-abandoned",
-                      {{"attempt", to_string(attempt.m_metadata.m_attempt)},
-                       {"endpoint", attempt.m_metadata.m_endpoint},
-                       {"phase", std::string{to_string(attempt.m_phase)}},
-                       {"repeatable", attempt.m_repeat == gate_repeat::forbidden ? "no" : "yes"}},
-                      record_target::timeline_and_log});
-}
-
 /// The execution status of an attempt that the gate has not finished. Refuses it if it was not
 /// handed over and `scope` covers it.
 execution_status cancel_if_queued(host_state& self, reducer_context& context,
@@ -322,7 +296,7 @@
 {
     const attempt_id id = self.m_gate.m_by_exchange.at(exchange);
     const auto& attempt = self.m_gate.m_attempts.at(id);
-    log_abandoned(context, attempt);
+    record_abandoned_attempt(context, attempt);
     if (attempt.m_phase == gate_phase::queued || attempt.m_phase == gate_phase::held) {
         remove_from_queue(self, attempt);
         refuse_attempt(self, context, id, refusal_kind::deadline_exceeded);
--- a/libraries/libpolicy/gate/run_outcomes.cpp
+++ b/libraries/libpolicy/gate/run_outcomes.cpp
@@ -35,8 +35,34 @@
              record_target::timeline_and_log});
 }
 
+std::string_view to_string(gate_phase phase)
+{
+    switch (phase) {
+    case gate_phase::held:
+        return "held";
+    case gate_phase::queued:
+        return "queued";
+    case gate_phase::running:
+        return "running";
+    case gate_phase::relaying:
+        return "relaying";
+    }
+    return "unknown";
+}
+
 } // namespace
 
+void record_abandoned_attempt(reducer_context& context, const gate_attempt& attempt)
+{
+    emit(context,
+         record_event{"attempt-abandoned",
+                      {{"attempt", to_string(attempt.m_metadata.m_attempt)},
+                       {"endpoint", attempt.m_metadata.m_endpoint},
+                       {"phase", std::string{to_string(attempt.m_phase)}},
+                       {"repeatable", attempt.m_repeat == gate_repeat::forbidden ? "no" : "yes"}},
+                      record_target::timeline_and_log});
+}
+
 std::vector<http_field> load_fields(const host_state& self, std::string_view endpoint)
 {
     const auto found = self.m_gate.m_upstreams.find(endpoint);
--- a/libraries/libpolicy/gate/run_outcomes.h
+++ b/libraries/libpolicy/gate/run_outcomes.h
@@ -23,6 +23,9 @@
 void record_run_outcome(host_state& self, reducer_context& context, gate_attempt& attempt,
                         circuit::run_outcome outcome);
 
+/// Logs that the ingress closed the connection of an attempt, and the attempt's phase.
+void record_abandoned_attempt(reducer_context& context, const gate_attempt& attempt);
+
 /// Answer fields that tell the ingress the load of the upstream. Empty if the placement mode is not
 /// `probing`.
 std::vector<http_field> load_fields(const host_state& self, std::string_view endpoint);
--- a/tests/libhost/abandoned_request_test.cpp
+++ b/tests/libhost/abandoned_request_test.cpp
@@ -45,7 +45,7 @@
     }
 
     /// Passes a request on from the loop, as the host process does.
-    void forward(received_request request)
+    void forward(const received_request& request)
     {
         m_exchanges[request.m_exchange] = {&m_caller_server, request.m_body};
         asio::post(m_loop, [this, exchange = request.m_exchange] {
@@ -74,12 +74,11 @@
     transfer_runner m_runner{m_client, m_exchanges, [this](transfer_update update) {
                                  m_updates.push_back(std::move(update));
                              }};
-    traffic_server m_caller_server{
-        m_loop,
-        options(caller_port),
-        {[this](received_request request) { forward(std::move(request)); },
-         [this](std::uint64_t) { ++m_disconnects; }},
-        m_last_exchange};
+    traffic_server m_caller_server{m_loop,
+                                   options(caller_port),
+                                   {[this](const received_request& request) { forward(request); },
+                                    [this](std::uint64_t) { ++m_disconnects; }},
+                                   m_last_exchange};
     traffic_server m_upstream_server{
         m_loop,
         options(upstream_port),
--- a/tests/libpolicy/change_delay_test.cpp
+++ b/tests/libpolicy/change_delay_test.cpp
@@ -65,6 +65,14 @@
     return found;
 }
 
+/// Lets `announcer` learn of changes a little before the other watchers.
+void let_learn_first(fleet& hosts, std::size_t announcer)
+{
+    hosts.m_watch_delay = [announcer](std::size_t host) {
+        return host == announcer ? duration{} : duration{20ms};
+    };
+}
+
 /// Returns the number of running hosts with an older revision than `revision`.
 std::size_t count_late(const fleet& hosts, std::uint64_t revision)
 {
@@ -143,9 +151,7 @@
         hosts.m_drops_messages = [announcer](std::size_t, std::size_t to) {
             return to == announcer;
         };
-        hosts.m_watch_delay = [announcer](std::size_t host) {
-            return host == announcer ? duration{} : duration{20ms};
-        };
+        let_learn_first(hosts, announcer);
         publish(hosts, 2);
         hosts.run_for(apply_limit);
         late += count_late(hosts, 2);
@@ -159,9 +165,7 @@
     for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
         auto hosts = running_fleet(seed);
         const auto announcer = watchers(hosts).at(seed % 6);
-        hosts.m_watch_delay = [announcer](std::size_t host) {
-            return host == announcer ? duration{} : duration{20ms};
-        };
+        let_learn_first(hosts, announcer);
         publish(hosts, 2);
         BOOST_TEST_REQUIRE(hosts.run_until(
             [&] { return hosts.revision(announcer, document_name) == 2; }, apply_limit));
