--- a/libraries/libhost/execute_effects.cpp
+++ b/libraries/libhost/execute_effects.cpp
@@ -1,5 +1,5 @@
 // This file implements `host_process::execute` for all effects but `stop_process`, which
-// host_process.cpp implements.
+// stop_process.cpp implements.
 
 #include "libbase/clock.h"
 #include "libhost/document_exchange.h"
