libpolicy: Do not call a repeated attempt not run when its caller has left

Cause: the gate recorded every attempt whose caller had left before it was sent as not run. Where a gate repeats a silent attempt on a new connection, the first send may have run, and only the repeat was not sent. Found by reading the change; gates that are asked for free slots do not repeat. Change: a repeated attempt is remembered as one that may have run. Evidence: gate_attempts/a_repeat_that_was_not_sent_does_not_make_its_attempt_ not_run failed before and passes. Conclusion: "not run" stays true.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -363,7 +363,10 @@
 {
     const attempt_id id = self.m_gate.m_by_transfer.at(end.m_transfer);
     if (end.m_end == transfer_end::caller_left) {
-        end_run(self, context, id, execution_status::not_run); // Nobody awaits an answer.
+        // Nobody awaits an answer. The first send of a repeated attempt may have run.
+        const bool is_repeat = self.m_gate.m_attempts.at(id).m_repeat == gate_repeat::used;
+        end_run(self, context, id,
+                is_repeat ? execution_status::may_have_run : execution_status::not_run);
         return;
     }
     if (self.m_gate.m_attempts.at(id).m_phase == gate_phase::relaying) {
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -111,6 +111,16 @@
     BOOST_TEST(upstream.m_running == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_repeat_that_was_not_sent_does_not_make_its_attempt_not_run)
+{
+    const auto id = next_attempt();
+    const auto started = effects_of_type<start_transfer>(send(id, reading(), "GET"));
+    BOOST_TEST_REQUIRE(started.size() == 1U);
+    m_host_state.m_gate.m_attempts.at(id).m_repeat = gate_repeat::used;
+    feed(transfer_ended{started[0].m_transfer, transfer_end::caller_left, 0, {}});
+    BOOST_TEST((request_cancellation(id, reading()) == execution_status::may_have_run));
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_says_that_it_is_leaving_gets_no_more_attempts)
 {
     const auto id = next_attempt();
