libsettings: Derive the shutdown limit from the time until SIGKILL

Cause: the platform's settings gave 5.3 s, which fits where SIGKILL follows after 6 s. Where it follows after 10 s, requests at which upstreams still worked were answered with 502 from 5.3 s on, though half of the time was left. Found by reading. Change: termination_grace_period_s in place of shutdown_limit_ms; 85% of it are the limit. Test: libsettings, the_shutdown_limit_follows_from_the_time_until_the_process_is_killed.

--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -17,6 +17,12 @@
 constexpr value_bounds<std::int64_t> head_size_bounds{1'024, 1'048'576};
 constexpr value_bounds<std::int64_t> body_size_bounds{0, 67'108'864};
 constexpr value_bounds<std::int64_t> shutdown_bounds_ms{0, 3'600'000};
+constexpr value_bounds<double> termination_grace_bounds_s{0.1, 3600};
+
+/// The part of the termination grace period in which requests may still end. The rest is for the
+/// last answers to be written, also where the process gets little processor time.
+constexpr double shutdown_share_of_grace = 0.85;
+
 constexpr value_bounds<std::int64_t> watch_timeout_bounds_ms{100, 30'000};
 constexpr value_bounds<std::int64_t> round_interval_bounds_ms{100, 10'000};
 constexpr value_bounds<std::int64_t> max_start_delay_bounds_ms{0, 10'000};
@@ -285,6 +291,23 @@
     }
 }
 
+/// Reads the longest time that a shutdown takes: as it is given, or as the part of the time until
+/// the process is killed that leaves room for the last answers.
+duration read_shutdown_limit(yaml_map_reader& reader, const host_settings& defaults)
+{
+    if (reader.has("termination_grace_period_s")) {
+        if (reader.has("shutdown_limit_ms")) {
+            reader.fault(error_kind::out_of_range, "termination_grace_period_s",
+                         "shutdown_limit_ms is given too.", "Give one of the two.");
+        }
+        const auto grace =
+            reader.number_or("termination_grace_period_s", termination_grace_bounds_s, 0);
+        return from_seconds(grace * shutdown_share_of_grace);
+    }
+    return std::chrono::milliseconds{reader.integer_or("shutdown_limit_ms", shutdown_bounds_ms,
+                                                       to_milliseconds(defaults.m_shutdown_limit))};
+}
+
 daemon_settings read_settings(const yaml_node& root, const file_reader& read_file,
                               fault_list& faults)
 {
@@ -306,6 +329,7 @@
                             "limits",
                             "shutdown_limit_ms",
                             "shutdown_notice_ms",
+                            "termination_grace_period_s",
                             "timeline_entries",
                             "log_level",
                             "service",
@@ -342,9 +366,7 @@
     if (reader.has("limits")) {
         read_limits(reader.place_of("limits"), settings, faults);
     }
-    const auto default_limit = to_milliseconds(settings.m_policy.m_shutdown_limit);
-    settings.m_policy.m_shutdown_limit = std::chrono::milliseconds{
-        reader.integer_or("shutdown_limit_ms", shutdown_bounds_ms, default_limit)};
+    settings.m_policy.m_shutdown_limit = read_shutdown_limit(reader, settings.m_policy);
     settings.m_policy.m_watch_timeout = std::chrono::milliseconds{
         reader.integer_or("watch_timeout_ms", watch_timeout_bounds_ms,
                           to_milliseconds(settings.m_policy.m_watch_timeout))};
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -171,6 +171,21 @@
     BOOST_TEST(faults_of(valid_settings + "cold_tolerance: {factor: 0.5}\n").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_shutdown_limit_follows_from_the_time_until_the_process_is_killed)
+{
+    for (const auto& [line, limit] :
+         {std::pair{"termination_grace_period_s: 6\n", duration{5100ms}},
+          std::pair{"termination_grace_period_s: 10\n", duration{8500ms}}}) {
+        const auto parsed = parse_settings(valid_settings + line, read_file);
+        const auto* const read = std::get_if<daemon_settings>(&parsed);
+        BOOST_TEST_REQUIRE((read != nullptr));
+        BOOST_TEST((read->m_policy.m_shutdown_limit == limit));
+    }
+    BOOST_TEST(faults_of(valid_settings + "termination_grace_period_s: 0\n").size() == 1U);
+    BOOST_TEST(faults_of(valid_settings + "termination_grace_period_s: 6\nshutdown_limit_ms: 500\n")
+                   .size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ports_may_be_given_with_an_ip_address)
 {
     const auto text = with_line(
