libpolicy: Queue attempts by fresh loads only, at any of equal gates

Cause: in a service of hundreds of upstreams an ingress knows the load of few. Unknown loads counted as 0 and ties went to the first name, so all ingresses queued their attempts at the same few gates, most of them with open circuits, whose load is low. Change: loads count for 100 ms; without one, or among equal ones, the choice is random. Upstreams whose circuit was seen open in the last 2 s come last. After three refusals in the own data centre a gate there with a free slot queues the attempt, before others are asked: all five tries used to go to the own data centre where it has many gates.

--- a/libraries/libpolicy/placement/destination_records.cpp
+++ b/libraries/libpolicy/placement/destination_records.cpp
@@ -60,7 +60,9 @@
 
 void record_open_circuit(destination_records& records, const upstream_id& upstream, instant now)
 {
-    find_or_add_record(records, upstream).m_circuit_open_until = now + circuit_open_duration;
+    auto& record = find_or_add_record(records, upstream);
+    record.m_circuit_open_until = now + circuit_open_duration;
+    record.m_circuit_seen_open_at = now;
 }
 
 void record_unreachable(destination_records& records, const upstream_id& upstream, instant now)
--- a/libraries/libpolicy/placement/destination_records.h
+++ b/libraries/libpolicy/placement/destination_records.h
@@ -24,6 +24,9 @@
     /// open.
     instant m_circuit_open_until;
 
+    /// When its gate last refused an attempt because the circuit was open.
+    instant m_circuit_seen_open_at = instant::min();
+
     /// Until then no connection to its gate is tried if another upstream is reachable.
     instant m_unreachable_until;
 
@@ -32,7 +35,7 @@
 
     /// Running and queued attempts for each slot, as of `m_load_updated_at`.
     double m_load = 0;
-    instant m_load_updated_at;
+    instant m_load_updated_at = instant::min();
 };
 
 /// What this host knows of the upstreams that it sends attempts to.
--- a/libraries/libpolicy/placement/placement.cpp
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -6,16 +6,28 @@
 
 namespace {
 
-/// Number of refusals after which a request is queued at a gate.
+/// Number of refusals after which a request is queued in any case.
 constexpr std::size_t refusals_before_queueing = 5;
 
 /// Number of options in other data centres that are tried before the request is queued. It is lower
 /// as traffic between data centres is expensive.
-constexpr std::ptrdiff_t other_datacentre_refusals_before_queueing = 2;
+constexpr std::ptrdiff_t other_datacentre_tries = 2;
+
+/// Number of options in the own data centre that are tried before those in others. Where the own
+/// one has many, they would otherwise use up all tries.
+constexpr std::ptrdiff_t own_datacentre_tries = 3;
 
 /// Added to the load for each slot of upstreams in other data centres when queues are compared.
 constexpr double other_datacentre_load_penalty = 0.25;
 
+/// How long a reported load is used. It covers the refusals of one request. The lowest of many
+/// older loads is most likely out of date.
+constexpr duration load_lifetime = 100ms;
+
+/// How long an upstream whose circuit was open comes after others. Most failures last longer than
+/// a circuit stays open at first.
+constexpr duration recent_failure_period = 2s;
+
 bool is_unreachable(const option& each, instant now)
 {
     return now < each.m_record.m_unreachable_until;
@@ -87,18 +99,121 @@
     return found.empty() ? eligible : found;
 }
 
-/// Returns the option of the group with the least load for each slot.
-std::size_t least_loaded(std::span<const option> options, const std::vector<std::size_t>& group)
+/// Returns the options of the group whose circuit has not been seen open recently, or the group if
+/// there are none.
+std::vector<std::size_t> prefer_healthy(std::span<const option> options,
+                                        const std::vector<std::size_t>& group, instant now)
+{
+    auto healthy = filter_options(options, group, [now](const option& each) {
+        const auto seen_open_at = each.m_record.m_circuit_seen_open_at;
+        return seen_open_at == instant::min() || now - seen_open_at >= recent_failure_period;
+    });
+    return healthy.empty() ? group : healthy;
+}
+
+/// Returns the number of options in the own data centre, or in others, that were tried.
+std::ptrdiff_t count_tried(std::span<const option> options, bool is_in_own_datacentre)
+{
+    return std::count_if(options.begin(), options.end(), [&](const option& each) {
+        return each.m_was_tried && each.m_is_in_own_datacentre == is_in_own_datacentre;
+    });
+}
+
+/// Whether the gate of this option reported its load a moment ago.
+bool is_load_known(const option& each, instant now)
+{
+    const auto updated_at = each.m_record.m_load_updated_at;
+    return updated_at != instant::min() && now - updated_at < load_lifetime;
+}
+
+/// The load by which queues are compared: running and queued attempts for each slot.
+double comparable_load(const option& each)
+{
+    return each.m_record.m_load + (each.m_is_in_own_datacentre ? 0 : other_datacentre_load_penalty);
+}
+
+/// Picks one of the options of the group with the least load, of those whose load is known, or any
+/// if none is. Among equal ones the choice is random: a fixed order would send the attempts of all
+/// ingresses to the same gate.
+std::size_t pick_least_loaded(std::span<const option> options,
+                              const std::vector<std::size_t>& group, instant now,
+                              random_engine& engine)
 {
-    return *std::min_element(
-        group.begin(), group.end(), [&options](std::size_t left, std::size_t right) {
-            const auto comparable_load = [&options](std::size_t index) {
-                const auto& each = options[index];
-                return each.m_record.m_load +
-                       (each.m_is_in_own_datacentre ? 0 : other_datacentre_load_penalty);
-            };
-            return comparable_load(left) < comparable_load(right);
+    const auto known = filter_options(
+        options, group, [now](const option& each) { return is_load_known(each, now); });
+    if (known.empty()) {
+        return pick_weighted(options, group, engine);
+    }
+    const auto least = *std::min_element(
+        known.begin(), known.end(), [&options](std::size_t left, std::size_t right) {
+            return comparable_load(options[left]) < comparable_load(options[right]);
         });
+    const auto equal = filter_options(options, known, [&](const option& each) {
+        return comparable_load(each) <= comparable_load(options[least]);
+    });
+    return pick_weighted(options, equal, engine);
+}
+
+/// The options that a decision chooses among, as indices.
+struct option_groups {
+    std::vector<std::size_t> m_own;     ///< With a closed circuit, in the own data centre.
+    std::vector<std::size_t> m_other;   ///< With a closed circuit, in others.
+    std::vector<std::size_t> m_failing; ///< With an open circuit, in any data centre.
+};
+
+option_groups group_options(std::span<const option> options, instant now)
+{
+    const auto candidates = eligible_options(options, now);
+    const auto is_closed = [now](const option& each) { return !is_circuit_open(each, now); };
+    return {
+        filter_options(
+            options, candidates,
+            [&](const option& each) { return is_closed(each) && each.m_is_in_own_datacentre; }),
+        filter_options(
+            options, candidates,
+            [&](const option& each) { return is_closed(each) && !each.m_is_in_own_datacentre; }),
+        filter_options(options, candidates, [&](const option& each) { return !is_closed(each); })};
+}
+
+/// Chooses an option of the group that may start the attempt at once and was not tried yet.
+std::optional<decision> try_idle(std::span<const option> options,
+                                 const std::vector<std::size_t>& group, const decision_input& input,
+                                 random_engine& engine)
+{
+    const auto untried = filter_options(options, group, [&input](const option& each) {
+        return !each.m_was_tried && !is_busy(each, input.m_now);
+    });
+    if (untried.empty()) {
+        return std::nullopt;
+    }
+    const auto preferred = prefer_healthy(options, untried, input.m_now);
+    return decision{pick_weighted(options, preferred, engine), queueing_permission::forbidden};
+}
+
+/// Chooses the option of the group with the shortest queue that may still queue the attempt.
+std::optional<decision> try_queue(std::span<const option> options,
+                                  const std::vector<std::size_t>& group,
+                                  const decision_input& input, random_engine& engine)
+{
+    const auto with_room = filter_options(options, group, [&input](const option& each) {
+        return !each.m_was_offered_queueing && !is_full(each, input);
+    });
+    if (with_room.empty()) {
+        return std::nullopt;
+    }
+    const auto preferred = prefer_healthy(options, with_room, input.m_now);
+    return decision{pick_least_loaded(options, preferred, input.m_now, engine),
+                    queueing_permission::allowed};
+}
+
+/// Returns the options of the group that reported a free slot a moment ago. Gates keep the last
+/// slots for attempts that are allowed to queue.
+std::vector<std::size_t> with_free_slot(std::span<const option> options,
+                                        const std::vector<std::size_t>& group, instant now)
+{
+    return filter_options(options, group, [now](const option& each) {
+        return is_load_known(each, now) && each.m_record.m_load < 1;
+    });
 }
 
 } // namespace
@@ -106,55 +221,42 @@
 std::optional<decision> decide(std::span<const option> options, const decision_input& input,
                                random_engine& engine)
 {
-    const auto now = input.m_now;
-    const auto candidates = eligible_options(options, now);
-    const auto with_closed_circuit = filter_options(
-        options, candidates, [now](const option& each) { return !is_circuit_open(each, now); });
-    const auto in_own_datacentre =
-        filter_options(options, with_closed_circuit,
-                       [](const option& each) { return each.m_is_in_own_datacentre; });
-    const bool stays_in_own_datacentre = input.m_is_large && !in_own_datacentre.empty();
-    if (input.m_refusals < refusals_before_queueing) {
-        const auto not_busy =
-            filter_options(options, with_closed_circuit, [now](const option& each) {
-                return !each.m_was_tried && !is_busy(each, now);
-            });
-        const auto other_datacentre_refusals =
-            std::count_if(options.begin(), options.end(), [](const option& each) {
-                return each.m_was_tried && !each.m_is_in_own_datacentre;
-            });
-        const bool may_use_other_datacentre =
-            !stays_in_own_datacentre &&
-            other_datacentre_refusals < other_datacentre_refusals_before_queueing;
-        for (const bool is_in_own_datacentre : {true, false}) {
-            const auto group =
-                filter_options(options, not_busy, [is_in_own_datacentre](const option& each) {
-                    return each.m_is_in_own_datacentre == is_in_own_datacentre;
-                });
-            if (!group.empty() && (is_in_own_datacentre || may_use_other_datacentre)) {
-                return decision{pick_weighted(options, group, engine),
-                                queueing_permission::forbidden};
-            }
+    const auto groups = group_options(options, input.m_now);
+    const auto own_tries = count_tried(options, true);
+    const auto other_tries = count_tried(options, false);
+    const bool may_try_idle = input.m_refusals < refusals_before_queueing;
+    if (may_try_idle && own_tries < own_datacentre_tries) {
+        if (const auto chosen = try_idle(options, groups.m_own, input, engine)) {
+            return chosen;
         }
     }
-    const auto may_be_queued = [&input](const option& each) {
-        return !each.m_was_offered_queueing && !is_full(each, input);
-    };
-    for (const auto& group :
-         {stays_in_own_datacentre ? in_own_datacentre : with_closed_circuit, with_closed_circuit}) {
-        if (const auto with_queue_room = filter_options(options, group, may_be_queued);
-            !with_queue_room.empty()) {
-            return decision{least_loaded(options, with_queue_room), queueing_permission::allowed};
+    const auto free_in_own = with_free_slot(options, groups.m_own, input.m_now);
+    if (const auto chosen = try_queue(options, free_in_own, input, engine)) {
+        return chosen;
+    }
+    const bool stays_in_own_datacentre = input.m_is_large && !groups.m_own.empty();
+    if (may_try_idle && !stays_in_own_datacentre && other_tries < other_datacentre_tries) {
+        if (const auto chosen = try_idle(options, groups.m_other, input, engine)) {
+            return chosen;
         }
     }
-    const auto with_open_circuit = filter_options(options, candidates, [now](const option& each) {
-        return is_circuit_open(each, now) && !each.m_was_offered_bypass;
-    });
-    if (with_open_circuit.empty()) {
+    if (stays_in_own_datacentre) {
+        if (const auto chosen = try_queue(options, groups.m_own, input, engine)) {
+            return chosen;
+        }
+    }
+    auto any = groups.m_own;
+    any.insert(any.end(), groups.m_other.begin(), groups.m_other.end());
+    if (const auto chosen = try_queue(options, any, input, engine)) {
+        return chosen;
+    }
+    const auto failing = filter_options(
+        options, groups.m_failing, [](const option& each) { return !each.m_was_offered_bypass; });
+    if (failing.empty()) {
         return std::nullopt;
     }
-    return decision{pick_weighted(options, with_open_circuit, engine),
-                    queueing_permission::forbidden, circuit_breaker_mode::bypass};
+    return decision{pick_weighted(options, failing, engine), queueing_permission::forbidden,
+                    circuit_breaker_mode::bypass};
 }
 
 } // namespace chivevane::placement
--- a/tests/libpolicy/placement_test.cpp
+++ b/tests/libpolicy/placement_test.cpp
@@ -74,12 +74,38 @@
     for (auto& each : m_options) {
         each.m_was_tried = true;
         each.m_record.m_load = 1;
+        each.m_record.m_load_updated_at = m_now;
     }
     m_options[4].m_record.m_load = 0.5;
     BOOST_TEST((chosen_options() == indices{4}));
     BOOST_TEST((decide()->m_queueing == queueing_permission::allowed));
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_of_unknown_load_is_not_taken_for_an_idle_one)
+{
+    m_refusals = 5;
+    m_options[2].m_record.m_load = 1;
+    m_options[2].m_record.m_load_updated_at = m_now;
+    BOOST_TEST((chosen_options() == indices{2}));
+    m_now += 2s;
+    BOOST_TEST(chosen_options().size() > 1U); // The report is too old, so that any is as good.
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_failed_a_moment_ago_comes_after_others_of_its_data_centre)
+{
+    destination_records records;
+    placement::record_open_circuit(records, {"host-0", "endpoint"}, m_now);
+    m_options[0].m_record = placement::find_record(records, {"host-0", "endpoint"});
+    m_now += 1s;
+    BOOST_TEST((chosen_options() == indices{1, 2}));
+    m_options[1].m_was_tried = true;
+    m_options[2].m_was_tried = true;
+    BOOST_TEST((chosen_options() == indices{0}));
+    m_options[1].m_was_tried = false;
+    m_now += 2s;
+    BOOST_TEST((chosen_options() == indices{0, 1}));
+}
+
 BOOST_AUTO_TEST_CASE(upstreams_with_an_open_circuit_get_only_what_no_other_takes)
 {
     for (const std::size_t index : {0U, 1U, 2U, 3U, 4U}) {
