libpolicy: Let refusals of first attempts to a gate count as not run

Cause: the first attempt to a gate carries no reading of the gate's clock, so a late copy of it could run once its tombstone was gone, and a refusal proved nothing. Among hundreds of gates most attempts are first ones: requests that every gate refused were answered with 502 and an unknown outcome, which callers may not repeat. Requests that found no connection at all got 502 too, though it is certain that they did not run. Change: a gate remembers the latest attempt without a reading that it refused, for each ingress process, and runs no earlier one without a reading; it asks for the reading instead. Its refusal says so (Chivevane-Final), and the ingress takes it as proof. Earlier builds send no such field, and their refusals count as before. A request that certainly did not run is never answered with 502 or 504: 503 unreachable or overloaded. Ruled out: round numbers from gossip in place of readings, since earlier builds would refuse them with an unknown outcome.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -63,7 +63,10 @@
                                                     : arrival_check::may_have_run;
     }
     if (metadata.m_gate_clock == 0) {
-        return may_repeat(metadata, method) ? arrival_check::accepted : arrival_check::needs_clock;
+        const bool may_run_without =
+            may_repeat(metadata, method) &&
+            !may_be_refused_copy(state.m_final_refusals, metadata.m_attempt);
+        return may_run_without ? arrival_check::accepted : arrival_check::needs_clock;
     }
     return is_fresh(metadata.m_gate_clock, context.m_now) ? arrival_check::accepted
                                                           : arrival_check::may_have_run;
@@ -137,7 +140,9 @@
     report_observation(self, context, attempt, run_observation::ended_without_answer);
     const auto outcome = never_sent ? request_outcome::not_run : request_outcome::unknown;
     answer_refusal(context, attempt.m_exchange, id, {refusal_kind::upstream_failed, outcome},
-                   crashed_run, load_fields(self, attempt.m_metadata.m_endpoint));
+                   crashed_run,
+                   never_sent ? refusal_fields(self, attempt)
+                              : load_fields(self, attempt.m_metadata.m_endpoint));
     end_run(self, context, id,
             never_sent ? execution_status::not_run : execution_status::may_have_run);
 }
@@ -175,7 +180,7 @@
     }
     answer_refusal(context, attempt.m_exchange, id,
                    {refusal_kind::upstream_refused, request_outcome::not_run, 1s}, {},
-                   load_fields(self, attempt.m_metadata.m_endpoint));
+                   refusal_fields(self, attempt));
     end_run(self, context, id, execution_status::not_run);
 }
 
--- a/libraries/libpolicy/gate/gate_answers.cpp
+++ b/libraries/libpolicy/gate/gate_answers.cpp
@@ -64,6 +64,7 @@
     add_attempt_fields(context, answer.m_head, attempt,
                        execution_status_name(request_outcome::not_run));
     add_field(answer.m_head, reason_field, clock_required);
+    add_field(answer.m_head, final_refusal_field, "1");
     emit(context, std::move(answer));
 }
 
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -2,6 +2,7 @@
 
 #include "libbase/instant.h"
 #include "libpolicy/gate/circuit.h"
+#include "libpolicy/gate/final_refusals.h"
 #include "libpolicy/gate/gate_events.h"
 #include "libpolicy/gate/health_check.h"
 #include "libpolicy/gate/known_revisions.h"
@@ -96,6 +97,7 @@
     std::map<std::string, local_upstream, std::less<>> m_upstreams; ///< By endpoint.
     std::map<attempt_id, gate_attempt> m_attempts;
     tombstone_table m_tombstones;
+    final_refusals m_final_refusals;
     std::set<scheduled_check> m_due; ///< Running and held attempts in order of their next check.
     std::unordered_map<exchange_id, attempt_id> m_by_exchange;
     std::unordered_map<transfer_id, attempt_id> m_by_transfer;
--- a/libraries/libpolicy/gate/run_outcomes.cpp
+++ b/libraries/libpolicy/gate/run_outcomes.cpp
@@ -76,6 +76,15 @@
     return std::move(head.m_fields);
 }
 
+std::vector<http_field> refusal_fields(const host_state& self, const gate_attempt& attempt)
+{
+    auto fields = load_fields(self, attempt.m_metadata.m_endpoint);
+    if (attempt.m_metadata.m_gate_clock == 0) {
+        fields.push_back({std::string{final_refusal_field}, "1"});
+    }
+    return fields;
+}
+
 void record_run_outcome(host_state& self, reducer_context& context, gate_attempt& attempt,
                         circuit::run_outcome outcome)
 {
--- a/libraries/libpolicy/gate/run_outcomes.h
+++ b/libraries/libpolicy/gate/run_outcomes.h
@@ -30,4 +30,8 @@
 /// `probing`.
 std::vector<http_field> load_fields(const host_state& self, std::string_view endpoint);
 
+/// Returns the fields of the answer that the attempt was not run: the load, and whether the refusal
+/// is final.
+std::vector<http_field> refusal_fields(const host_state& self, const gate_attempt& attempt);
+
 } // namespace chivevane::gate
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -224,6 +224,9 @@
     state.m_by_transfer.erase(attempt.m_transfer);
     state.m_attempts.erase(found);
     add_tombstone(state.m_tombstones, attempt.m_metadata.m_attempt, status, context.m_now);
+    if (status == execution_status::not_run && attempt.m_metadata.m_gate_clock == 0) {
+        record_final_refusal(state.m_final_refusals, attempt.m_metadata.m_attempt);
+    }
     if (is_suspect_runner(state, attempt)) {
         admit_held_attempts(self, context, attempt.m_metadata.m_fingerprint);
     }
@@ -397,7 +400,7 @@
 {
     const auto& attempt = self.m_gate.m_attempts.at(id);
     answer_refusal(context, attempt.m_exchange, id, {kind, request_outcome::not_run, 1s},
-                   crashed_run, load_fields(self, attempt.m_metadata.m_endpoint));
+                   crashed_run, refusal_fields(self, attempt));
     finish(self, context, id, execution_status::not_run);
 }
 
--- a/libraries/libpolicy/ingress/answers.cpp
+++ b/libraries/libpolicy/ingress/answers.cpp
@@ -215,6 +215,9 @@
     const auto& [request, attempt] = reference;
     const bool not_run = find_field(head.m_fields, execution_status_field) == "not-run";
     const auto retry_after = retry_after_of(head);
+    if (find_field(head.m_fields, final_refusal_field)) {
+        attempt.m_may_have_late_duplicate = false;
+    }
     record_crashed_run(self, context, request, head);
     cancel_attempt(self, context, attempt);
     if (not_run && reason == gate::clock_required) {
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -165,6 +165,25 @@
     return none_ran ? request_outcome::not_run : request_outcome::unknown;
 }
 
+/// Returns the kind of a refusal that tells callers the outcome: they take the statuses 429 and 503
+/// to mean that the request did not run, and all others to mean that it may have run.
+refusal_kind kind_by_outcome(const refusal& reason)
+{
+    const auto status = status_of(reason.m_kind);
+    const bool promises_not_run = status == 503 || status == 429;
+    if (reason.m_outcome == request_outcome::unknown) {
+        return promises_not_run ? refusal_kind::upstream_failed : reason.m_kind;
+    }
+    switch (reason.m_kind) {
+    case refusal_kind::upstream_failed:
+        return refusal_kind::unreachable;
+    case refusal_kind::deadline_exceeded:
+        return refusal_kind::overloaded;
+    default:
+        return reason.m_kind;
+    }
+}
+
 void set_hedge_time(const host_state& self, const reducer_context& context,
                     ingress_request& request)
 {
@@ -345,12 +364,7 @@
                   refusal reason)
 {
     reason.m_outcome = overall_outcome(request);
-    const bool promises_not_run =
-        status_of(reason.m_kind) == 503 || status_of(reason.m_kind) == 429;
-    if (promises_not_run && reason.m_outcome == request_outcome::unknown) {
-        // Callers take the statuses 429 and 503 to mean that the request did not run.
-        reason.m_kind = refusal_kind::upstream_failed;
-    }
+    reason.m_kind = kind_by_outcome(reason);
     log_refusal(self, context, request, reason);
     record_failed_upstream_call(self, request, context.m_now);
     if (request.m_phase == ingress_phase::relaying || request.m_phase == ingress_phase::resuming) {
--- a/libraries/libpolicy/refusal.cpp
+++ b/libraries/libpolicy/refusal.cpp
@@ -45,6 +45,8 @@
                  "Wait as long as Retry-After says."},
     refusal_text{refusal_kind::upstream_refused, 503, "upstream-refused",
                  "The upstream did not run the request.", "Wait as long as Retry-After says."},
+    refusal_text{refusal_kind::unreachable, 503, "unreachable",
+                 "No upstream of the service could be reached.", "Try again later."},
     refusal_text{refusal_kind::leaving, 503, "leaving", "This host is shutting down.",
                  "Send the request to another host."},
     refusal_text{refusal_kind::not_ready, 503, "not-ready",
--- a/libraries/libpolicy/refusal.h
+++ b/libraries/libpolicy/refusal.h
@@ -26,6 +26,7 @@
     busy,              ///< 503; the gate has no free slot, but another gate may have one
     circuit_open,      ///< 503; the circuit of the upstream is open after recent failures
     upstream_refused,  ///< 503; the upstream answered that it did not run the request
+    unreachable,       ///< 503; no connection to an upstream or its host could be made
     leaving,           ///< 503
     not_ready,         ///< 503; the host's documents are missing or unconfirmed for too long
     quarantined,       ///< 503; earlier runs of the request crashed upstreams
--- a/libraries/libwire/attempt_metadata.h
+++ b/libraries/libwire/attempt_metadata.h
@@ -68,6 +68,10 @@
 /// Field of a gate's refusal that names the reason.
 constexpr std::string_view reason_field = "Chivevane-Reason";
 
+/// Field of a gate's response `not-run` to an attempt without a clock reading: the gate runs no
+/// late copy of it either. Earlier builds do not send the field.
+constexpr std::string_view final_refusal_field = "Chivevane-Final";
+
 /// Field of a gate's response that carries the gate's own clock in microseconds.
 constexpr std::string_view gate_clock_field = "Chivevane-Gate-Clock";
 
