libpolicy: Refuse queued attempts when their data centre is taken out

Cause: a gate refused new attempts once a document took its data centre out, but started those that were queued already. Change: when the documents in force change, the gate refuses what is queued for services whose documents take its data centre out, not run, so that it runs elsewhere. Test: gate_attempts/queued_attempts_are_refused_*; fails without the call (none != not-run).

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -427,6 +427,16 @@
     publish_upstreams(self);
 }
 
+void on_documents_changed(host_state& self, reducer_context& context)
+{
+    for (const auto& [endpoint, upstream] : self.m_gate.m_upstreams) {
+        if (configuration::is_datacentre_out(self.m_configuration, upstream.m_latest.m_service,
+                                             context.m_settings.m_datacentre)) {
+            refuse_queued(self, context, endpoint);
+        }
+    }
+}
+
 bool owns_transfer(const gate_state& state, transfer_id transfer)
 {
     return state.m_by_transfer.contains(transfer);
--- a/libraries/libpolicy/gate/gate.h
+++ b/libraries/libpolicy/gate/gate.h
@@ -40,6 +40,10 @@
 /// upstreams, health checks, crashed runs and tombstones.
 void on_timer(host_state& self, reducer_context& context);
 
+/// Refuses the queued attempts for services whose documents take this host's data centre out of
+/// use, so that they run elsewhere.
+void on_documents_changed(host_state& self, reducer_context& context);
+
 bool owns_transfer(const gate_state& state, transfer_id transfer);
 
 bool owns_exchange(const gate_state& state, exchange_id exchange);
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -245,13 +245,23 @@
     emit(context, stop_process{});
 }
 
-/// Does the work that follows every event: applies deferred rate limit decisions, updates the
-/// documents digest in host records, and ends a shutdown that is complete or past its deadline.
+/// Does the work that follows a change of the documents in force.
+void handle_changed_documents(host_state& self, reducer_context& context)
+{
+    const auto digest = configuration::digest_of(self.m_configuration);
+    if (digest == self.m_membership.m_own_record.m_documents_digest) {
+        return;
+    }
+    membership::set_documents_digest(self.m_membership, digest);
+    gate::on_documents_changed(self, context);
+}
+
+/// Does the work that follows every event: applies deferred rate limit decisions, handles changed
+/// documents, and ends a shutdown that is complete or past its deadline.
 void finish_event(host_state& self, reducer_context& context)
 {
     ingress::on_token_decisions(self, context);
-    membership::set_documents_digest(self.m_membership,
-                                     configuration::digest_of(self.m_configuration));
+    handle_changed_documents(self, context);
     const bool is_done = self.m_gate.m_is_leaving && !has_work_in_progress(self);
     if (self.m_leave_deadline && (is_done || context.m_now >= *self.m_leave_deadline)) {
         stop(self, context);
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -100,6 +100,38 @@
     BOOST_TEST(*find_field(fields, gate_clock_field) == std::to_string(reading()));
 }
 
+BOOST_AUTO_TEST_CASE(no_late_copy_of_a_refused_attempt_without_a_clock_reading_runs)
+{
+    const auto id = next_attempt();
+    m_host_state.m_gate.m_is_leaving = true;
+    const auto refused = send(id, 0, "GET");
+    m_host_state.m_gate.m_is_leaving = false;
+    BOOST_TEST(execution_status_of(refused) == "not-run");
+    const auto fields = effects_of_type<respond>(refused).at(0).m_head.m_fields;
+    BOOST_TEST(find_field(fields, final_refusal_field).has_value());
+    for (int second = 0; second < 90; ++second) {
+        const auto copy = send(id, 0, "GET");
+        BOOST_TEST(effects_of_type<start_transfer>(copy).empty());
+        advance(1s);
+        announce("permits-1", "permits");
+    }
+    BOOST_TEST(effects_of_type<start_transfer>(send(next_attempt(), 0, "GET")).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(queued_attempts_are_refused_when_their_data_centre_is_taken_out)
+{
+    m_host_state.m_admission.m_upstreams.at("permits-1").m_limit.m_limit = 1;
+    BOOST_TEST(effects_of_type<start_transfer>(send(next_attempt(), reading())).size() == 1U);
+    const auto queued = send(next_attempt(), reading());
+    BOOST_TEST_REQUIRE(execution_status_of(queued) == "none");
+    const auto text = sample_document() + "datacentres_out: [marsh]\n";
+    const stored_document stored{"blackmorass", 2, "edit-2", text, {}};
+    const store_entry entry{"/chivevane/documents/blackmorass", encode_document_record(stored), 2};
+    const auto effects =
+        feed(store_response{2, store_purpose::document_read, store_entries{2, {entry}}});
+    BOOST_TEST(execution_status_of(effects) == "not-run");
+}
+
 BOOST_AUTO_TEST_CASE(an_attempt_that_was_not_sent_as_its_ingress_left_is_known_not_to_have_run)
 {
     const auto id = next_attempt();
