libpolicy: Keep stalled attempts running until another one answers

Cause: when the circuit of an upstream opened, its gate cancelled all idempotent attempts that had no answer for several times the usual latency, so that they could run elsewhere. An ingress did the same with an attempt whose gate left its inquiries unanswered for a second. Change: the gate reports such attempts as stalled and lets them run. The ingress makes another attempt beside the stalled one if the budget allows it, asks other gates while they refuse, and passes on the first answer. A gate that is dead by the membership is still given up. Ruled out: a flag of the ingress with each attempt, as its budget changes before it is needed.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -211,7 +211,7 @@
         return execution_status::may_have_run;
     }
     if (scope == cancel_scope::not_received) {
-        return execution_status::in_progress;
+        return attempt.m_is_stalled ? execution_status::stalled : execution_status::in_progress;
     }
     if (attempt.m_phase == gate_phase::running) {
         return execution_status::may_have_run;
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -66,12 +66,13 @@
     gate_repeat m_repeat = gate_repeat::forbidden;
     instant m_deadline;
     instant m_handed_over_at;
-    instant m_due = instant::max();     ///< Time of the next check; see `gate_state::m_due`.
-    duration m_latency{};               ///< Time from the hand-over to the head of the answer.
-    bool m_has_failed = false;          ///< The upstream answered with a server error.
-    bool m_is_load_refused = false;     ///< The upstream answered 429 or 503.
-    bool m_is_trial = false;            ///< It is the trial of a half-open circuit.
-    bool m_is_silent = false;           ///< It has no answer for several times the usual latency.
+    instant m_due = instant::max(); ///< Time of the next check; see `gate_state::m_due`.
+    duration m_latency{};           ///< Time from the hand-over to the head of the answer.
+    bool m_has_failed = false;      ///< The upstream answered with a server error.
+    bool m_is_load_refused = false; ///< The upstream answered 429 or 503.
+    bool m_is_trial = false;        ///< It is the trial of a half-open circuit.
+    bool m_is_silent = false;       ///< It has no answer for several times the usual latency.
+    bool m_is_stalled = false;      ///< It is silent, and the circuit was not closed after that.
     bool m_is_outcome_recorded = false; ///< The circuit has its outcome.
     std::uint64_t m_upstream_run = 0;   ///< `upstream_announcement::m_run` at the hand-over.
 };
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -10,6 +10,7 @@
 #include "libpolicy/gate/silence_limit.h"
 #include "libpolicy/health/health.h"
 #include "libpolicy/host_state.h"
+#include "libpolicy/membership/membership.h"
 
 #include <algorithm>
 #include <cassert>
@@ -275,32 +276,30 @@
     end_run(self, context, id, execution_status::may_have_run);
 }
 
-/// Cancels an attempt whose upstream does not answer, so that it can run elsewhere.
-void cancel_silent_attempt(host_state& self, reducer_context& context, const attempt_id& id)
+/// Marks the silent attempts on an upstream that may run elsewhere as stalled, and tells their
+/// ingresses, which know whether another attempt can be made. The gate does not end them, since
+/// the upstream may still be at work on a request that can be answered in no other way.
+void report_stalled_attempts(gate_state& state, const membership_state& members,
+                             reducer_context& context, std::string_view endpoint)
 {
-    auto& attempt = self.m_gate.m_attempts.at(id);
-    emit(context, cancel_transfer{attempt.m_transfer});
-    answer_refusal(context, attempt.m_exchange, id,
-                   {refusal_kind::upstream_failed, request_outcome::unknown});
-    end_run(self, context, id, execution_status::may_have_run);
-}
-
-/// The silent attempts on an upstream that may run elsewhere.
-std::vector<attempt_id> silent_attempts(const gate_state& state, std::string_view endpoint)
-{
-    std::vector<attempt_id> silent;
-    for (const auto& [id, attempt] : state.m_attempts) {
-        if (attempt.m_is_silent && attempt.m_phase == gate_phase::running &&
-            attempt.m_repeat != gate_repeat::forbidden &&
-            attempt.m_metadata.m_endpoint == endpoint) {
-            silent.push_back(id);
+    for (auto& [id, attempt] : state.m_attempts) {
+        const bool may_run_elsewhere = attempt.m_repeat != gate_repeat::forbidden;
+        if (!attempt.m_is_silent || attempt.m_is_stalled || !may_run_elsewhere ||
+            attempt.m_phase != gate_phase::running || attempt.m_metadata.m_endpoint != endpoint) {
+            continue;
+        }
+        attempt.m_is_stalled = true;
+        if (const auto* const peer = membership::find_member(members, id.m_ingress.m_name)) {
+            emit(context,
+                 send_datagram{peer->m_record.m_address,
+                               cancel_attempt_response{id, attempt.m_metadata.m_gate_incarnation,
+                                                       execution_status::stalled}});
         }
     }
-    return silent;
 }
 
 /// Records that an attempt has no answer for several times the usual latency. If the circuit is not
-/// closed then, all silent attempts on the upstream that may run elsewhere are cancelled.
+/// closed then, the silent attempts on the upstream are stalled.
 void handle_silence(host_state& self, reducer_context& context, const attempt_id& id)
 {
     auto& attempt = self.m_gate.m_attempts.at(id);
@@ -316,10 +315,7 @@
     if (upstream->second.m_circuit.m_phase == circuit_phase::closed) {
         return;
     }
-    const auto endpoint = upstream->first;
-    for (const auto& silent : silent_attempts(self.m_gate, endpoint)) {
-        cancel_silent_attempt(self, context, silent);
-    }
+    report_stalled_attempts(self.m_gate, self.m_membership, context, upstream->first);
 }
 
 void check_attempt(host_state& self, reducer_context& context, const attempt_id& id)
--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -36,6 +36,12 @@
 /// off can still be replaced by that of another upstream.
 constexpr std::size_t body_buffer_limit = 1024 * 1024;
 
+/// Whether an attempt still awaits its answer or the report of its execution status.
+bool is_pending(const ingress_attempt& attempt)
+{
+    return attempt.m_phase == attempt_phase::sent || attempt.m_phase == attempt_phase::cancelling;
+}
+
 std::vector<upstream_id> tried_upstreams(const ingress_request& request)
 {
     std::vector<upstream_id> tried;
@@ -214,6 +220,7 @@
                       const refusal& reason)
 {
     if (has_pending_attempt(request)) {
+        send_beside_stalled_attempts(self, context, request, reason);
         reschedule(self.m_ingress, request);
         return;
     }
@@ -353,6 +360,29 @@
                   attempt.m_circuit_breaker_mode});
 }
 
+void send_beside_stalled_attempts(host_state& self, reducer_context& context,
+                                  ingress_request& request, const refusal& reason)
+{
+    const bool is_answer_expected = std::any_of(
+        request.m_attempts.begin(), request.m_attempts.end(),
+        [](const ingress_attempt& each) { return is_pending(each) && !each.m_is_stalled; });
+    if (is_answer_expected || request.m_idempotency != routing::idempotency::idempotent) {
+        return;
+    }
+    const auto target = find_destination(self, context, request);
+    if (!target) {
+        return;
+    }
+    const auto& upstream = target->m_location.m_upstream;
+    const bool is_pending_there = std::any_of(
+        request.m_attempts.begin(), request.m_attempts.end(), [&](const ingress_attempt& each) {
+            return is_pending(each) && each.m_destination.m_upstream == upstream;
+        });
+    if (!is_pending_there && spend_budget_for_attempt(self, context, request, reason)) {
+        send_attempt(self, context, request, *target);
+    }
+}
+
 void cancel_attempt(host_state& self, reducer_context& context, ingress_attempt& attempt)
 {
     if (self.m_ingress.m_by_transfer.erase(attempt.m_transfer) > 0) {
@@ -430,11 +460,7 @@
 
 bool has_pending_attempt(const ingress_request& request)
 {
-    return std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
-                       [](const ingress_attempt& attempt) {
-                           return attempt.m_phase == attempt_phase::sent ||
-                                  attempt.m_phase == attempt_phase::cancelling;
-                       });
+    return std::any_of(request.m_attempts.begin(), request.m_attempts.end(), is_pending);
 }
 
 } // namespace chivevane::ingress
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -50,6 +50,12 @@
 void resend_to_same_gate(host_state& self, reducer_context& context, ingress_request& request,
                          ingress_attempt& attempt, connection_reuse reuse);
 
+/// Sends another attempt of an idempotent request all of whose pending attempts are stalled, if the
+/// budget allows it and an upstream without a pending attempt is found. `reason` is why the last
+/// attempt ended or was found stalled. The first answer to arrive is relayed.
+void send_beside_stalled_attempts(host_state& self, reducer_context& context,
+                                  ingress_request& request, const refusal& reason);
+
 /// Cancels the transfer of an attempt, if it has one, and so closes its connection.
 void cancel_attempt(host_state& self, reducer_context& context, ingress_attempt& attempt);
 
--- a/libraries/libpolicy/ingress/execution_inquiries.cpp
+++ b/libraries/libpolicy/ingress/execution_inquiries.cpp
@@ -3,6 +3,7 @@
 #include "libpolicy/health/health.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/attempts.h"
+#include "libpolicy/membership/membership.h"
 
 namespace chivevane::ingress {
 
@@ -41,9 +42,22 @@
     reschedule(self.m_ingress, request);
 }
 
-/// Handles a gate that does not respond to inquiries. An attempt that is being cancelled ends with
-/// an unknown outcome. An open connection is given up only if the request is idempotent, since
-/// another attempt may run it a second time.
+/// Makes another attempt beside one whose answer is late, if the request allows it. The late one is
+/// not given up, since it may be the only one that brings an answer.
+void handle_stalled_attempt(host_state& self, reducer_context& context, ingress_request& request,
+                            ingress_attempt& attempt)
+{
+    if (attempt.m_is_stalled) {
+        return;
+    }
+    attempt.m_is_stalled = true;
+    // Sending another attempt may move `attempt` in memory.
+    send_beside_stalled_attempts(self, context, request, outcome_unknown);
+}
+
+/// Handles a gate that does not respond to inquiries. An attempt that is being cancelled, or whose
+/// gate is dead, ends with an unknown outcome. Another one stays open, as its answer can still
+/// come.
 void handle_silent_gate(host_state& self, reducer_context& context, ingress_request& request,
                         ingress_attempt& attempt)
 {
@@ -51,17 +65,23 @@
         end_attempt(self, context, request, attempt, outcome_unknown);
         return;
     }
+    attempt.m_next_inquiry = instant::max();
+    reschedule(self.m_ingress, request);
     if (request.m_idempotency == routing::idempotency::not_idempotent) {
-        attempt.m_next_inquiry = instant::max(); // Only the answer itself can still come.
-        reschedule(self.m_ingress, request);
         return;
     }
-    health::record_observation(
-        self.m_health, context,
-        {attempt.m_destination.m_upstream, request.m_service, request.m_route->m_name,
-         observer::ingress, observed_result::unreachable, context.m_now - attempt.m_started_at});
-    cancel_attempt(self, context, attempt);
-    end_attempt(self, context, request, attempt, outcome_unknown);
+    const auto& upstream = attempt.m_destination.m_upstream;
+    health::record_observation(self.m_health, context,
+                               {upstream, request.m_service, request.m_route->m_name,
+                                observer::ingress, observed_result::unreachable,
+                                context.m_now - attempt.m_started_at});
+    const auto* const host = membership::find_member(self.m_membership, upstream.m_host);
+    if (host == nullptr || host->m_status == member_status::dead) {
+        cancel_attempt(self, context, attempt);
+        end_attempt(self, context, request, attempt, outcome_unknown);
+        return;
+    }
+    handle_stalled_attempt(self, context, request, attempt);
 }
 
 /// Handles a report that the gate has answered or the run has ended. The first report leaves the
@@ -103,7 +123,7 @@
                             ingress_attempt& attempt, execution_status status)
 {
     if (attempt.m_phase == attempt_phase::cancelling) {
-        if (status == execution_status::in_progress) {
+        if (status == execution_status::in_progress || status == execution_status::stalled) {
             return; // Responds to an inquiry sent before the one that cancels the attempt.
         }
         attempt.m_may_have_reached_upstream = status != execution_status::not_run;
@@ -120,6 +140,10 @@
         attempt.m_inquiry_delay *= inquiry_delay_factor;
         postpone_inquiry(self, context, request, attempt);
         break;
+    case execution_status::stalled:
+        postpone_inquiry(self, context, request, attempt);
+        handle_stalled_attempt(self, context, request, attempt);
+        break;
     case execution_status::may_have_run:
         await_reported_answer(self, context, request, attempt);
         break;
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -280,7 +280,8 @@
     auto& request = state.m_requests.at(number->second);
     const auto found = std::find_if(request.m_attempts.begin(), request.m_attempts.end(),
                                     [&id](const auto& attempt) { return attempt.m_id == id; });
-    if (found == request.m_attempts.end() || found->m_unanswered_inquiries == 0 ||
+    const bool is_unasked = response.m_status == execution_status::stalled;
+    if (found == request.m_attempts.end() || (found->m_unanswered_inquiries == 0 && !is_unasked) ||
         found->m_destination.m_gate_incarnation != response.m_gate_incarnation) {
         return;
     }
--- a/libraries/libpolicy/ingress/ingress_state.h
+++ b/libraries/libpolicy/ingress/ingress_state.h
@@ -58,6 +58,8 @@
     std::uint32_t m_unanswered_inquiries = 0; ///< Inquiries sent since the gate last responded.
     bool m_is_answer_reported = false; ///< Whether the gate has reported an answer that has not
                                        ///< arrived yet.
+    bool m_is_stalled = false; ///< Whether its answer is so late that another attempt is wanted
+                               ///< beside it.
     std::optional<refusal_kind> m_end_reason; ///< Why it ended without an answer.
     bool m_may_have_reached_upstream = true;  ///< False once it is known that the upstream did not
                                               ///< get the attempt.
--- a/libraries/libwire/attempt_messages.h
+++ b/libraries/libwire/attempt_messages.h
@@ -14,6 +14,8 @@
                   ///< has also begun or its execution has ended.
     unknown,      ///< The gate process has restarted, or can no longer determine the status.
     in_progress,  ///< The attempt is queued at the gate, or runs and its response has not begun.
+    stalled,      ///< The attempt runs on, but its response is several times later than usual and
+                  ///< the circuit of its upstream is not closed.
 };
 
 /// Which attempts a `cancel_attempt_request` cancels.
@@ -40,7 +42,8 @@
     }
 };
 
-/// Response to a `cancel_attempt_request`: the execution status of the attempt.
+/// The execution status of an attempt: the response to a `cancel_attempt_request`, or sent unasked
+/// when the attempt becomes stalled.
 struct cancel_attempt_response {
     attempt_id m_attempt;
     std::uint64_t m_gate_incarnation = 0;
