libpolicy: Do not count questions for a clock reading as attempts

Cause: an attempt that must not run twice needs a reading of its gate's clock. Among hundreds of gates the ingress has none of most, so each gate answered the first attempt with a question and the request was sent again. Change: questions count neither as attempts nor as upstreams reached; one for each gate asked is answered. A reading is used for 20 s instead of 10 s (gates accept 30 s). Test: refusal_outcomes/gates_that_ask_for_a_clock_reading_*.

--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -29,8 +29,11 @@
 /// execution status of the attempt, arrives in time.
 constexpr duration gate_refusal_margin = 5ms;
 
-constexpr std::uint32_t max_extra_attempts = 4;
-constexpr duration clock_reading_lifetime = 10s; // Gates accept readings up to three times as old.
+/// The first request to each of many gates is sent again with a reading of the gate's clock.
+constexpr std::uint32_t max_extra_attempts = 14;
+
+/// Gates accept readings of up to 30 s. The rest is for the time on the way.
+constexpr duration clock_reading_lifetime = 20s;
 
 /// Bodies up to this size are buffered whole before they are relayed, so that an answer that breaks
 /// off can still be replaced by that of another upstream.
@@ -349,12 +352,12 @@
 {
     constexpr refusal reason{refusal_kind::upstream_failed, request_outcome::not_run, 1s};
     mark_attempt_ended(self, attempt, reason);
+    attempt.m_may_have_reached_upstream = false;
     if (request.m_extra_attempts >= max_extra_attempts || has_pending_attempt(request)) {
         continue_request(self, context, request, reason);
         return;
     }
     ++request.m_extra_attempts;
-    attempt.m_may_have_reached_upstream = false;
     send_attempt(self, context, request,
                  {routing::upstream_location{attempt.m_destination}, reuse, attempt.m_queueing,
                   attempt.m_circuit_breaker_mode});
--- a/libraries/libpolicy/ingress/probing.cpp
+++ b/libraries/libpolicy/ingress/probing.cpp
@@ -110,7 +110,7 @@
 bool spend_budget_for_attempt(host_state& self, const ingress_request& request,
                               const refusal& reason)
 {
-    if (request.m_attempts.size() >= max_attempts) {
+    if (request.m_attempts.size() >= max_attempts + request.m_extra_attempts) {
         return false;
     }
     if (reason.m_outcome == request_outcome::not_run &&
--- a/tests/libpolicy/probing_fixture.h
+++ b/tests/libpolicy/probing_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libpolicy/gate/gate_answers.h"
 #include "libpolicy/host_fixture.h"
 #include "libwire/attempt_metadata.h"
 
@@ -24,19 +25,25 @@
     probing_ingress_fixture()
     {
         for (const std::string name : {"marsh-2", "marsh-3", "marsh-4"}) {
-            host_record record{{name, 1}, "marsh", {name, 7001, 7002, 7003, 7004}};
-            upstream_summary upstream;
-            upstream.m_endpoint = "tides-" + name;
-            upstream.m_service = "tides";
-            upstream.m_slots = 4;
-            upstream.m_phase = upstream_phase::serving;
-            record.m_upstreams.push_back(upstream);
-            record.m_upstream_count = 1;
-            record.m_version = 1;
-            feed(datagram_received{record.m_identity, 1, {}, record});
+            add_host(name, "tides");
         }
     }
 
+    /// Adds another host with an upstream of the service.
+    void add_host(const std::string& name, const std::string& service)
+    {
+        host_record record{{name, 1}, "marsh", {name, 7001, 7002, 7003, 7004}};
+        upstream_summary upstream;
+        upstream.m_endpoint = service + "-" + name;
+        upstream.m_service = service;
+        upstream.m_slots = 4;
+        upstream.m_phase = upstream_phase::serving;
+        record.m_upstreams.push_back(upstream);
+        record.m_upstream_count = 1;
+        record.m_version = 1;
+        feed(datagram_received{record.m_identity, 1, {}, record});
+    }
+
     /// Sends a caller's idempotent request and returns its first attempt.
     start_transfer send()
     {
@@ -46,6 +53,17 @@
         return started[0];
     }
 
+    /// Sends a caller's request that must not run twice and returns its first attempt.
+    start_transfer send_once_only()
+    {
+        const request_head head{
+            "POST", "/permits", {{"Host", "a"}, {"Authorization", "Bearer parish-key"}}};
+        const auto started = effects_of_type<start_transfer>(
+            feed(inbound_request{1, listener_kind::caller, head, 0, 0}));
+        BOOST_TEST_REQUIRE(started.size() == 1U);
+        return started[0];
+    }
+
     static std::string attempt_of(const start_transfer& transfer)
     {
         return std::string{*find_field(transfer.m_head.m_fields, attempt_field)};
@@ -65,6 +83,16 @@
         return feed(transfer_head{transfer.m_transfer, {status, fields}});
     }
 
+    /// Lets the gate ask for the attempt again, with the reading of its clock.
+    effect_list require_clock(const start_transfer& transfer)
+    {
+        return answer(
+            transfer, 503,
+            {{std::string{reason_field}, std::string{gate::clock_required}},
+             {std::string{execution_status_field}, "not-run"},
+             {std::string{gate_clock_field}, std::to_string(gate::clock_reading(m_now))}});
+    }
+
     /// Lets the gate refuse the attempt, not run.
     effect_list refuse_as_busy(const start_transfer& transfer, std::vector<http_field> more = {})
     {
--- a/tests/libpolicy/refusal_outcome_test.cpp
+++ b/tests/libpolicy/refusal_outcome_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <set>
 #include <string>
 
 using namespace chivevane;
@@ -50,6 +51,30 @@
     BOOST_TEST(says_not_run(answer));
 }
 
+BOOST_AUTO_TEST_CASE(gates_that_ask_for_a_clock_reading_do_not_use_up_the_attempts)
+{
+    for (int host = 5; host < 12; ++host) {
+        add_host("marsh-" + std::to_string(host), "permits");
+    }
+    auto attempt = send_once_only();
+    std::set<std::string> asked;
+    std::size_t with_reading = 0;
+    for (int attempts = 0; attempts < 40; ++attempts) {
+        const bool is_first = asked.insert(attempt.m_ip).second;
+        with_reading += is_first ? 0U : 1U;
+        const auto effects = is_first ? require_clock(attempt) : refuse_as_busy(attempt);
+        const auto started = effects_of_type<start_transfer>(effects);
+        if (started.empty()) {
+            const auto answer = effects_of_type<respond>(effects).at(0);
+            BOOST_TEST(answer.m_head.m_status == 503);
+            BOOST_TEST(answer.m_body.find("unreachable") == std::string::npos);
+            break;
+        }
+        attempt = started[0];
+    }
+    BOOST_TEST(with_reading >= 6U); // Idle gates are tried, then queues.
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_that_is_not_final_promises_nothing)
 {
     const auto answer = answer_when_all_fail(
