libpolicy: Refuse a request after three gates had no room in their queues

Cause: an overloaded service was asked up to 14 times for each request that it then refused. Change: three gates are asked, those with the shortest queues known; for large answers three in the own data centre and three in others. Test: placement_choices/after_three_gates_*.

--- a/libraries/libpolicy/placement/placement.cpp
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -28,6 +28,10 @@
 /// a circuit stays open at first.
 constexpr duration recent_failure_period = 2s;
 
+/// Gates that refuse to queue a request before the service counts as full. The gates that are asked
+/// have the shortest queues known.
+constexpr std::ptrdiff_t max_queue_refusals = 3;
+
 bool is_unreachable(const option& each, instant now)
 {
     return now < each.m_record.m_unreachable_until;
@@ -195,6 +199,12 @@
                                   const std::vector<std::size_t>& group,
                                   const decision_input& input, random_engine& engine)
 {
+    const auto queue_refusals = std::count_if(group.begin(), group.end(), [&](auto index) {
+        return options[index].m_was_offered_queueing;
+    });
+    if (queue_refusals >= max_queue_refusals) {
+        return std::nullopt;
+    }
     const auto with_room = filter_options(options, group, [&input](const option& each) {
         return !each.m_was_offered_queueing && !is_full(each, input);
     });
@@ -240,14 +250,16 @@
             return chosen;
         }
     }
+    auto queues = groups.m_other;
     if (stays_in_own_datacentre) {
         if (const auto chosen = try_queue(options, groups.m_own, input, engine)) {
             return chosen;
         }
     }
-    auto any = groups.m_own;
-    any.insert(any.end(), groups.m_other.begin(), groups.m_other.end());
-    if (const auto chosen = try_queue(options, any, input, engine)) {
+    else {
+        queues.insert(queues.end(), groups.m_own.begin(), groups.m_own.end());
+    }
+    if (const auto chosen = try_queue(options, queues, input, engine)) {
         return chosen;
     }
     const auto failing = filter_options(
--- a/tests/libpolicy/placement_test.cpp
+++ b/tests/libpolicy/placement_test.cpp
@@ -106,6 +106,16 @@
     BOOST_TEST((chosen_options() == indices{0, 1}));
 }
 
+BOOST_AUTO_TEST_CASE(after_three_gates_refused_to_queue_it_a_request_is_refused_at_once)
+{
+    m_refusals = 8;
+    for (std::size_t index = 0; index < 3; ++index) {
+        BOOST_TEST(decide().has_value());
+        m_options[index].m_was_offered_queueing = true;
+    }
+    BOOST_TEST(!decide().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(upstreams_with_an_open_circuit_get_only_what_no_other_takes)
 {
     for (const std::size_t index : {0U, 1U, 2U, 3U, 4U}) {
