libpolicy: Serve or refuse all calls of a host together

Change: calls of upstreams have a class, the same for all calls of a host for two seconds, and gates queue them by class. So a request's calls are served or refused together.

--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -10,6 +10,7 @@
 #include "libpolicy/ingress/execution_inquiries.h"
 #include "libpolicy/ingress/is_idempotent.h"
 #include "libpolicy/ingress/request_log.h"
+#include "libpolicy/ingress/request_priority.h"
 #include "libpolicy/limits/limits.h"
 #include "libpolicy/refusal.h"
 #include "libwire/attempt_metadata.h"
@@ -88,7 +89,11 @@
     request.m_organisation = authorisation.m_organisation;
     request.m_limit = authorisation.m_limit;
     request.m_service = choose_service(*authorisation.m_route, context.m_random);
-    request.m_priority = authorisation.m_priority;
+    request.m_priority =
+        context.m_settings.m_placement == placement_mode::probing
+            ? request_priority({authorisation.m_priority, authorisation.m_organisation,
+                                context.m_settings.m_self.m_name, now})
+            : authorisation.m_priority;
     request.m_idempotency = idempotency_of(*authorisation.m_route, inbound.m_head.m_method);
     request.m_arrived_at = now;
     request.m_deadline = now + timeout_of(inbound.m_head, *authorisation.m_route);
--- /dev/null
+++ b/libraries/libpolicy/ingress/request_priority.cpp
@@ -0,0 +1,48 @@
+#include "libpolicy/ingress/request_priority.h"
+
+#include "libbase/digest.h"
+
+namespace chivevane::ingress {
+
+namespace {
+
+/// Priorities at gates for each configured one: the classes of calls, and after them the requests
+/// of organisations.
+constexpr std::uint32_t call_classes = 15;
+constexpr std::uint32_t priorities_per_configured = call_classes + 1;
+
+/// How long a host's calls keep their class. Most requests make all their calls within this time.
+constexpr duration class_duration = 2s;
+
+/// How far the class periods of `host` are shifted, in microseconds. Hosts change classes at
+/// different times.
+std::int64_t phase_of(std::string_view host)
+{
+    const auto length = static_cast<std::uint64_t>(class_duration.count());
+    return static_cast<std::int64_t>(stable_hash(host) % length);
+}
+
+std::int64_t class_period(std::string_view host, instant now)
+{
+    return (now.time_since_epoch().count() + phase_of(host)) / class_duration.count();
+}
+
+/// The class of the calls that upstreams of `host` make now, from 0, the most urgent.
+std::uint32_t call_class(std::string_view host, instant now)
+{
+    const auto period = static_cast<std::uint64_t>(class_period(host, now));
+    return static_cast<std::uint32_t>(stable_hash(host, period) % call_classes);
+}
+
+} // namespace
+
+std::uint32_t request_priority(const priority_input& input)
+{
+    const auto first = input.m_configured * priorities_per_configured;
+    if (!input.m_organisation.empty()) {
+        return first + call_classes;
+    }
+    return first + call_class(input.m_host, input.m_now);
+}
+
+} // namespace chivevane::ingress
