libpolicy: Leave slots to urgent attempts where urgent ones are refused

Change: for a second after the refusal of an urgent attempt less urgent ones use at most three quarters of the slots. An urgent attempt starts at once though less urgent ones are queued. Test: gate_admission/less_urgent_attempts_leave_slots_*.

--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -21,6 +21,12 @@
 /// left for bursts, and an upstream that is nearly full answers slowly.
 constexpr double idle_share = 0.75;
 
+/// Share of the concurrency that less urgent attempts may use while more urgent ones are refused.
+constexpr double less_urgent_share = 0.75;
+
+/// How long after the refusal of an urgent attempt less urgent ones leave slots free.
+constexpr duration urgent_refusal_memory = 1s;
+
 /// Share of the start limit of an upstream of unknown warm-up state after which that state needs
 /// confirmation. The rest covers the starts until the health check is answered.
 constexpr double share_before_confirmation = 0.5;
@@ -62,19 +68,56 @@
     return !is_rate_limited(upstream) || may_start(upstream.m_starts, limit, since, now);
 }
 
-bool has_room(upstream_admission& upstream, instant now)
+/// Whether a more urgent attempt than one of `priority` was recently refused.
+bool was_urgent_refused(const upstream_admission& upstream, std::uint32_t priority, instant now)
+{
+    return upstream.m_refused_at != instant::min() && upstream.m_refused_priority < priority &&
+           now - upstream.m_refused_at < urgent_refusal_memory;
+}
+
+void record_queue_refusal(upstream_admission& upstream, std::uint32_t priority, instant now)
+{
+    if (priority <= upstream.m_refused_priority || !was_urgent_refused(upstream, priority, now)) {
+        upstream.m_refused_priority = priority;
+        upstream.m_refused_at = now;
+    }
+}
+
+/// How many attempts may run at once when one of `priority` starts. While more urgent ones are
+/// refused, the less urgent ones leave slots to them that they would hold for a whole run.
+std::uint32_t concurrency_for(const upstream_admission& upstream, std::uint32_t priority,
+                              instant now)
+{
+    const auto all = concurrency_of(upstream);
+    return was_urgent_refused(upstream, priority, now)
+               ? std::max(1U, static_cast<std::uint32_t>(all * less_urgent_share))
+               : all;
+}
+
+/// Returns until when slots that are free are left to urgent attempts, not to the next queued one;
+/// a time in the past if they are not. The queue must not be empty.
+instant end_of_reservation(const upstream_admission& upstream)
 {
-    return upstream.m_running < concurrency_of(upstream) &&
+    const auto priority = next_priority(upstream.m_queue);
+    const auto reduced = concurrency_for(upstream, priority, upstream.m_refused_at);
+    return upstream.m_running < reduced ? instant::min()
+                                        : upstream.m_refused_at + urgent_refusal_memory;
+}
+
+/// Whether an attempt of `priority` may start.
+bool has_room(upstream_admission& upstream, std::uint32_t priority, instant now)
+{
+    return upstream.m_running < concurrency_for(upstream, priority, now) &&
            now >= upstream.m_limit.m_paused_until && may_start_by_rate(upstream, now) &&
            may_start(upstream.m_accepted_rate, now);
 }
 
 /// Whether the upstream has capacity to spare.
-bool is_idle(upstream_admission& upstream, instant now)
+bool is_idle(upstream_admission& upstream, std::uint32_t priority, instant now)
 {
     const auto idle_limit =
         std::max(1U, static_cast<std::uint32_t>(concurrency_of(upstream) * idle_share));
-    return upstream.m_running < idle_limit && has_room(upstream, now);
+    return upstream.m_running < idle_limit && has_room(upstream, priority, now);
 }
 
 instant next_start_by_rate(const upstream_admission& upstream)
@@ -107,10 +150,15 @@
     const auto& flows = upstream.m_queue.m_flows;
     const auto competing_flows =
         std::count_if(flows.begin(), flows.end(), [&flow](const auto& entry) {
-            return entry.first != flow && entry.first.m_priority <= flow.m_priority;
+            return entry.first != flow && !entry.first.m_organisation.empty() &&
+                   entry.first.m_priority <= flow.m_priority;
+        });
+    const bool has_more_urgent_calls =
+        std::any_of(flows.begin(), flows.end(), [&flow](const auto& entry) {
+            return entry.first.m_organisation.empty() && entry.first.m_priority <= flow.m_priority;
         });
-    return std::max<std::size_t>(1,
-                                 queue_capacity / (static_cast<std::size_t>(competing_flows) + 1));
+    const auto sharing = competing_flows + (has_more_urgent_calls ? 2 : 1);
+    return std::max<std::size_t>(1, queue_capacity / static_cast<std::size_t>(sharing));
 }
 
 /// When a new attempt would get its answer, after those that run and those queued ahead of it.
@@ -235,8 +283,10 @@
     }
     auto& upstream = found->second;
     const bool is_queueing_forbidden = attempt.m_queueing == queueing_permission::forbidden;
-    if (upstream.m_queue.m_size == 0 &&
-        (is_queueing_forbidden ? is_idle(upstream, now) : has_room(upstream, now))) {
+    const bool is_next =
+        upstream.m_queue.m_size == 0 || attempt.m_priority < next_priority(upstream.m_queue);
+    if (is_next && (is_queueing_forbidden ? is_idle(upstream, attempt.m_priority, now)
+                                          : has_room(upstream, attempt.m_priority, now))) {
         record_started(upstream, now);
         record_use(upstream.m_queue, flow_of(attempt), now);
         return decision::started;
@@ -245,6 +295,7 @@
         return decision::refused;
     }
     if (!may_wait(upstream, attempt, now)) {
+        record_queue_refusal(upstream, attempt.m_priority, now);
         return decision::refused;
     }
     push(upstream.m_queue, attempt);
@@ -282,7 +333,8 @@
 {
     std::vector<queued_attempt> startable;
     for (auto& [endpoint, upstream] : state.m_upstreams) {
-        while (upstream.m_queue.m_size > 0 && has_room(upstream, now)) {
+        while (upstream.m_queue.m_size > 0 &&
+               has_room(upstream, next_priority(upstream.m_queue), now)) {
             startable.push_back(*pop(upstream.m_queue, now));
             record_started(upstream, now);
         }
@@ -322,7 +374,8 @@
         earliest = std::min(earliest, upstream.m_queue.m_earliest_deadline - typical);
         if (upstream.m_running < concurrency_of(upstream)) {
             earliest = std::min(
-                earliest, std::max(upstream.m_limit.m_paused_until, next_start_by_rate(upstream)));
+                earliest, std::max({upstream.m_limit.m_paused_until, next_start_by_rate(upstream),
+                                    end_of_reservation(upstream)}));
         }
     }
     return earliest;
--- a/libraries/libpolicy/admission/admission_state.h
+++ b/libraries/libpolicy/admission/admission_state.h
@@ -34,6 +34,8 @@
     admission::start_window m_starts;            ///< Used only with a configured start rate.
     admission::start_rate_limit m_accepted_rate; ///< The limit that the upstream named.
     admission::fair_queue m_queue;
+    std::uint32_t m_refused_priority = 0;  ///< The most urgent priority refused for a long queue.
+    instant m_refused_at = instant::min(); ///< When an attempt of `m_refused_priority` was refused.
 };
 
 /// Admission state of all upstreams of this host.
--- a/libraries/libpolicy/admission/fair_queue.cpp
+++ b/libraries/libpolicy/admission/fair_queue.cpp
@@ -155,6 +155,12 @@
     return due;
 }
 
+std::uint32_t next_priority(const fair_queue& queue)
+{
+    assert(!queue.m_flows.empty());
+    return queue.m_flows.begin()->first.m_priority; // Flows are in the order of their priority.
+}
+
 std::size_t queue_length(const fair_queue& queue, const queue_flow& flow)
 {
     const auto found = queue.m_flows.find(flow);
--- a/libraries/libpolicy/admission/fair_queue.h
+++ b/libraries/libpolicy/admission/fair_queue.h
@@ -63,6 +63,9 @@
 /// Removes and returns all attempts whose deadline is not after `limit`.
 std::vector<queued_attempt> take_due(fair_queue& queue, instant limit);
 
+/// Returns the priority of the next attempt. The queue must not be empty.
+std::uint32_t next_priority(const fair_queue& queue);
+
 std::size_t queue_length(const fair_queue& queue, const queue_flow& flow);
 
 /// How many queued attempts would be served before a new one of `flow`.
--- a/tests/libpolicy/admission_test.cpp
+++ b/tests/libpolicy/admission_test.cpp
@@ -384,4 +384,38 @@
     BOOST_TEST(without >= 10U);
 }
 
+BOOST_AUTO_TEST_CASE(less_urgent_attempts_leave_slots_to_urgent_ones_that_were_refused)
+{
+    admission_state state;
+    instant now{1h};
+    admission::set_upstream(state, "e", 4, warm_up_state::warm, admission::announced_run::new_run,
+                            now);
+    admission::set_cold_bounds(state, "e", {1000, 1400});
+    std::uint64_t last = 0;
+    const auto offer = [&](std::uint32_t priority, duration target) {
+        return admission::offer(state,
+                                {{{"ingress", 1}, ++last, 1},
+                                 "e",
+                                 "",
+                                 now + 10s,
+                                 now + target,
+                                 100ms,
+                                 priority,
+                                 queueing_permission::allowed},
+                                now);
+    };
+    for (int running = 0; running < 4; ++running) {
+        BOOST_TEST((offer(0, 1s) == admission::decision::started));
+    }
+    BOOST_TEST((offer(0, 10ms) == admission::decision::refused));
+    admission::release(state, "e", admission::run_result::good, 100ms, now);
+    BOOST_TEST((offer(16, 5s) == admission::decision::queued));
+    BOOST_TEST(admission::take_startable(state, now).empty());
+    BOOST_TEST((admission::next_wakeup(state) > now)); // The host does not spin meanwhile.
+    BOOST_TEST((offer(0, 1s) == admission::decision::started));
+    admission::release(state, "e", admission::run_result::good, 100ms, now);
+    now += 2s;
+    BOOST_TEST(admission::take_startable(state, now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
