libpolicy: Choose one meter while started hosts learn of each other

Cause: a started host knows no other, so it was the meter of all organisations by its own view. Change: until it knows four fifths of the registered hosts, or for 5 s, a host chooses among the registered ones too; before it has read them it decides nothing alone. Tests: metering/hosts_that_restart_together_*, hosts_that_know_nobody_yet_*, local_decisions_of_a_large_fleet_*.

--- a/libraries/libpolicy/limits/metering.cpp
+++ b/libraries/libpolicy/limits/metering.cpp
@@ -4,6 +4,7 @@
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace chivevane::limits {
@@ -32,6 +33,13 @@
 /// Number of requests that a host may start at once while no meter answers, if slack is permitted.
 constexpr double min_local_burst = 2;
 
+/// Retry delay for requests that come before a started host knows any other. It reads the list of
+/// hosts within this time.
+constexpr duration unknown_fleet_retry_delay = 1s;
+
+/// Bound on the sum of these requests over all hosts, relative to the permitted slack.
+constexpr double min_local_bursts_per_slack = 4;
+
 void refill(token_bucket& bucket, double rate, double bound, instant now)
 {
     const auto refilled = rate * to_seconds(now - bucket.m_updated_at);
@@ -58,32 +66,60 @@
     return found->second;
 }
 
+bool is_silent(const metering_state& state, const std::string& host, instant now)
+{
+    const auto silent = state.m_silent_until.find(host);
+    return silent != state.m_silent_until.end() && now < silent->second;
+}
+
 /// Names of this host and the members that may be meters, except those that were silent recently.
+/// Hosts that are registered and not known yet may be meters too, so that hosts which start
+/// together choose the same. Empty while a started host has not read which hosts are registered.
 std::vector<std::string> possible_meters(const metering_state& state,
                                          const reducer_context& context,
                                          const membership_state& members)
 {
     const auto& self = context.m_settings.m_self.m_name;
+    const auto& registration = members.m_registration;
+    const bool is_complete = membership::is_view_complete(members, context.m_now);
+    if (!is_complete && !registration.m_has_read_hosts &&
+        membership::count_live_peers(members) == 0) {
+        return {};
+    }
     std::vector<std::string> candidates;
     for (const auto& [name, peer] : members.m_members) {
-        const auto silent = state.m_silent_until.find(name);
-        const bool is_silent =
-            silent != state.m_silent_until.end() && context.m_now < silent->second;
-        if (name == self || (membership::is_usable(peer) && !is_silent)) {
+        if (name == self ||
+            (membership::is_usable(peer) && !is_silent(state, name, context.m_now))) {
             candidates.push_back(name);
         }
     }
+    if (is_complete) {
+        return candidates;
+    }
+    for (const auto& registered : registration.m_registered) {
+        if (!members.m_members.contains(registered.m_name) &&
+            !is_silent(state, registered.m_name, context.m_now)) {
+            candidates.push_back(registered.m_name);
+        }
+    }
     return candidates;
 }
 
 /// The host that meters `organisation`. All hosts with the same view of the members choose the
-/// same.
+/// same. Empty while none can be chosen.
 std::string meter_of(const metering_state& state, const reducer_context& context,
                      const membership_state& members, std::string_view organisation)
 {
     return std::string{rendezvous_owner(organisation, possible_meters(state, context, members))};
 }
 
+/// The number of hosts that may decide locally: those that are known or registered.
+double count_hosts(const membership_state& members)
+{
+    const auto known = membership::count_live_peers(members);
+    return static_cast<double>(std::max(known, members.m_registration.m_registered.size()) + 1);
+}
+
 /// The number of requests that one meter admits beyond the burst.
 double meter_slack(const reducer_context& context)
 {
@@ -91,10 +127,19 @@
 }
 
 /// The smallest bucket capacity for local decisions, however small an even fraction of the burst
-/// is.
-double min_local_burst_of(const reducer_context& context)
+/// is. In a large fleet it is below one request.
+double min_local_burst_of(const reducer_context& context, const membership_state& members)
 {
-    return context.m_settings.m_rate_slack > 0 ? min_local_burst : 0;
+    const auto even_part =
+        context.m_settings.m_rate_slack * min_local_bursts_per_slack / count_hosts(members);
+    return std::min(min_local_burst, even_part);
+}
+
+/// Rounds a number of tokens up or down at random, such that the mean stays the same.
+double round_at_random(double tokens, random_engine& engine)
+{
+    const auto whole = std::floor(tokens);
+    return whole + (uniform_fraction(engine) < tokens - whole ? 1 : 0);
 }
 
 /// Takes a token from the organisation's bucket on this host, which is its meter.
@@ -146,6 +191,14 @@
 {
     if (const auto* const peer = membership::find_member(members, host)) {
         emit(context, send_datagram{peer->m_record.m_address, request});
+        return;
+    }
+    const auto& registered = members.m_registration.m_registered;
+    const auto found =
+        std::find_if(registered.begin(), registered.end(),
+                     [host](const registered_host& each) { return each.m_name == host; });
+    if (found != registered.end()) {
+        emit(context, send_datagram{found->m_address, request});
     }
 }
 
@@ -186,10 +239,13 @@
 decision decide_locally(metering_state& state, reducer_context& context,
                         const membership_state& members, const pending_token_request& pending)
 {
-    const auto hosts = static_cast<double>(membership::count_live_peers(members) + 1);
-    const auto min_burst = min_local_burst_of(context);
-    auto& account =
-        account_of(state, pending.m_token_request.m_organisation, min_burst, context.m_now);
+    if (pending.m_token_request.m_meter.empty()) {
+        return refused{unknown_fleet_retry_delay}; // It is not known among how many to divide.
+    }
+    const auto hosts = count_hosts(members);
+    const auto min_burst = min_local_burst_of(context, members);
+    auto& account = account_of(state, pending.m_token_request.m_organisation,
+                               round_at_random(min_burst, context.m_random), context.m_now);
     // The meter may not have received them.
     account.m_locally_admitted += pending.m_token_request.m_locally_admitted;
     const auto rate = pending.m_limit.m_rate / hosts;
@@ -208,6 +264,15 @@
     return granted{};
 }
 
+/// Decides a request that waits at the meter itself.
+decision decide_as_meter(metering_state& state, reducer_context& context,
+                         const pending_token_request& pending)
+{
+    const auto& request = pending.m_token_request;
+    return decision_of(context, request, request.m_meter, context.m_now - pending.m_first_sent_at,
+                       take_from_bucket(state, request, meter_slack(context), context.m_now));
+}
+
 /// Records that a meter left a request unanswered, and stops using it once it counts as silent.
 void record_silence(metering_state& state, const std::string& meter, instant now)
 {
@@ -244,7 +309,9 @@
 {
     const auto now = context.m_now;
     sweep(state, now);
-    auto& account = account_of(state, organisation, min_local_burst_of(context), now);
+    auto& account =
+        account_of(state, organisation,
+                   round_at_random(min_local_burst_of(context, members), context.m_random), now);
     pending_token_request pending{request_id,
                                   {context.m_settings.m_address, ++state.m_last_id,
                                    meter_of(state, context, members, organisation),
@@ -254,9 +321,7 @@
                                   now};
     account.m_locally_admitted = 0;
     if (pending.m_token_request.m_meter == context.m_settings.m_self.m_name) {
-        return decision_of(
-            context, pending.m_token_request, pending.m_token_request.m_meter, {},
-            take_from_bucket(state, pending.m_token_request, meter_slack(context), now));
+        return decide_as_meter(state, context, pending);
     }
     send_pending(state, pending, context, members);
     state.m_pending.emplace(pending.m_token_request.m_id, std::move(pending));
@@ -328,12 +393,24 @@
             ++entry;
             continue;
         }
+        auto& meter = pending.m_token_request.m_meter;
+        if (meter.empty()) {
+            meter = meter_of(state, context, members, pending.m_token_request.m_organisation);
+        }
+        if (meter == context.m_settings.m_self.m_name) {
+            state.m_deferred_decisions.push_back(
+                {pending.m_request_id, decide_as_meter(state, context, pending)});
+            entry = state.m_pending.erase(entry);
+            continue;
+        }
         if (pending.m_times_sent < max_times_sent) {
             send_pending(state, pending, context, members);
             ++entry;
             continue;
         }
-        record_silence(state, pending.m_token_request.m_meter, now);
+        if (!meter.empty()) {
+            record_silence(state, meter, now);
+        }
         state.m_deferred_decisions.push_back(
             {pending.m_request_id, decide_locally(state, context, members, pending)});
         entry = state.m_pending.erase(entry);
--- a/libraries/libpolicy/membership/gossip_round.cpp
+++ b/libraries/libpolicy/membership/gossip_round.cpp
@@ -212,8 +212,9 @@
 {
     const auto& settings = context.m_settings;
     auto candidates = settings.m_seeds;
-    const auto& registered = state.m_registration.m_candidates;
-    candidates.insert(candidates.end(), registered.begin(), registered.end());
+    for (const auto& registered : state.m_registration.m_registered) {
+        candidates.push_back(registered.m_address);
+    }
     for (const auto& [name, peer] : state.m_members) {
         if (peer.m_status != member_status::dead) {
             std::erase(candidates, peer.m_record.m_address);
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -31,6 +31,14 @@
 /// of hosts that start together drift apart.
 constexpr double round_jitter = 0.1;
 
+/// Time after the start of a process after which hosts that are registered and still unknown count
+/// as gone.
+constexpr duration view_completion_limit = 5s;
+
+/// Share of the registered hosts that are known when the view of a started process is complete. The
+/// others may be gone, as entries outlive their hosts.
+constexpr double complete_view_share = 0.8;
+
 member& self_of(membership_state& state)
 {
     return state.m_members.at(state.m_own_record.m_identity.m_name);
@@ -184,6 +192,7 @@
     state.m_members[settings.m_self.m_name] = {state.m_own_record, state.m_own_record.m_status,
                                                context.m_now};
     state.m_names_by_key[key_of(settings.m_self)] = settings.m_self.m_name;
+    state.m_started_at = context.m_now;
     state.m_next_round = context.m_now;
     state.m_next_load_push = context.m_now;
     state.m_last_nonce = std::uint64_t{context.m_random()} << 32U;
@@ -384,6 +393,15 @@
     return static_cast<std::size_t>(live);
 }
 
+bool is_view_complete(const membership_state& state, instant now)
+{
+    const auto& registration = state.m_registration;
+    const auto known = static_cast<double>(count_live_peers(state) + 1);
+    const auto registered = static_cast<double>(registration.m_registered.size() + 1);
+    return now - state.m_started_at >= view_completion_limit ||
+           (registration.m_has_read_hosts && known >= registered * complete_view_share);
+}
+
 instant next_wakeup(const membership_state& state)
 {
     if (state.m_has_urgent_change) {
--- a/libraries/libpolicy/membership/membership.h
+++ b/libraries/libpolicy/membership/membership.h
@@ -70,6 +70,10 @@
 /// Returns the number of members other than this host that are neither dead nor leaving.
 std::size_t count_live_peers(const membership_state& state);
 
+/// Whether this process knows most hosts that are registered, or has had time to. Until then it
+/// cannot tell which host a duty falls to.
+bool is_view_complete(const membership_state& state, instant now);
+
 /// Returns the time at which `on_timer` is due.
 instant next_wakeup(const membership_state& state);
 
--- a/libraries/libpolicy/membership/membership_state.h
+++ b/libraries/libpolicy/membership/membership_state.h
@@ -20,6 +20,7 @@
     std::unordered_map<std::uint64_t, std::string> m_names_by_key; ///< Host names by `key_of`.
     /// Time of the last request of each host record, by `key_of`.
     std::unordered_map<std::uint64_t, instant> m_record_requests;
+    instant m_started_at; ///< When this process started.
     instant m_next_round; ///< Time at which the next round begins.
     /// Number of gossip datagrams that it takes to list all members. The timeouts of failure
     /// detection are multiplied by it.
--- a/libraries/libpolicy/membership/registration.cpp
+++ b/libraries/libpolicy/membership/registration.cpp
@@ -78,18 +78,18 @@
 void on_entries(registration_state& state, reducer_context& context, const store_entries& entries)
 {
     state.m_has_read_hosts = true;
-    state.m_candidates.clear();
+    state.m_registered.clear();
     for (const auto& entry : entries.m_entries) {
         const auto address = decode_address(entry.m_value);
         if (entry.m_key == own_key(context)) {
             state.m_key_version = entry.m_version;
         }
         else if (address && *address != context.m_settings.m_address) {
-            state.m_candidates.push_back(*address);
+            state.m_registered.push_back({entry.m_key.substr(hosts_prefix.size()), *address});
         }
     }
     if (!state.m_is_registered) {
-        const auto spread = state.m_candidates.empty() ? start_jitter : registration_jitter;
+        const auto spread = state.m_registered.empty() ? start_jitter : registration_jitter;
         state.m_next_call =
             context.m_now + from_seconds(to_seconds(spread) * uniform_fraction(context.m_random));
     }
--- a/libraries/libpolicy/membership/registration_state.h
+++ b/libraries/libpolicy/membership/registration_state.h
@@ -4,6 +4,7 @@
 #include "libwire/host_address.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace chivevane {
@@ -11,6 +12,12 @@
 /// The store operation of the registration that is in progress.
 enum class registration_step : std::uint8_t { idle, reading, granting, writing, renewing };
 
+/// Another host as it is registered in the store.
+struct registered_host {
+    std::string m_name;
+    host_address m_address;
+};
+
 /// State of this host's entry in the store. New hosts find peers by these entries; nothing else
 /// depends on them.
 struct registration_state {
@@ -23,8 +30,8 @@
     instant m_next_call;             ///< Time of the next call, unless a read is due before it.
     instant m_next_read;             ///< Time of the next read of the list of hosts.
     std::uint32_t m_failures = 0;    ///< Number of consecutive failed calls.
-    std::uint32_t m_reads_without_peers = 0; ///< Number of consecutive reads without a live peer.
-    std::vector<host_address> m_candidates;  ///< Addresses in the last read, except this host's.
+    std::uint32_t m_reads_without_peers = 0;   ///< Number of consecutive reads without a live peer.
+    std::vector<registered_host> m_registered; ///< In the last read, except this host.
 };
 
 } // namespace chivevane
--- a/tests/libpolicy/metering_test.cpp
+++ b/tests/libpolicy/metering_test.cpp
@@ -68,6 +68,16 @@
                                         names.begin());
     }
 
+    /// Replaces the process of a host by one that knows no other host.
+    void restart(metered_host& host)
+    {
+        host.m_state = {};
+        std::erase_if(host.m_members.m_members, [&host](const auto& entry) {
+            return entry.first != host.m_settings.m_self.m_name;
+        });
+        host.m_members.m_started_at = m_now;
+    }
+
     template <typename Action>
     void at_host(std::size_t index, Action action)
     {
@@ -250,4 +260,61 @@
     BOOST_TEST(static_cast<double>(m_started - started) <= allowed_starts(5s));
 }
 
+/// Hosts that have just started know no other host, and must not all be the meter.
+BOOST_AUTO_TEST_CASE(hosts_that_restart_together_choose_one_meter)
+{
+    for (auto& host : m_hosts) {
+        restart(*host);
+        for (const auto& other : m_hosts) {
+            if (other != host) {
+                host->m_members.m_registration.m_registered.push_back(
+                    {other->m_settings.m_self.m_name, other->m_settings.m_address});
+            }
+        }
+        host->m_members.m_registration.m_has_read_hosts = true;
+    }
+    run_load(300, 3s);
+    BOOST_TEST(m_decided == m_last_request_id);
+    BOOST_TEST(static_cast<double>(m_started) <= allowed_starts(3s));
+    BOOST_TEST(static_cast<double>(m_started) >= limit.m_rate * 3);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_know_nobody_yet_start_no_more_than_the_limit)
+{
+    for (auto& host : m_hosts) {
+        restart(*host);
+    }
+    run_load(300, 1s);
+    BOOST_TEST(m_decided == m_last_request_id);
+    BOOST_TEST(static_cast<double>(m_started) <= allowed_starts(1s));
+}
+
+/// Where no meter answers, all hosts of a large fleet together start few requests.
+BOOST_AUTO_TEST_CASE(local_decisions_of_a_large_fleet_stay_within_the_slack)
+{
+    constexpr std::size_t fleet_size = 360;
+    double started = 0;
+    for (std::size_t index = 0; index < fleet_size; ++index) {
+        metered_host host;
+        host.m_settings.m_self = {name_of(index), 1};
+        host.m_settings.m_rate_slack = slack;
+        host.m_random.seed(index + 1);
+        host.m_members.m_started_at = m_now;
+        for (std::size_t other = 0; other + 1 < fleet_size; ++other) {
+            host.m_members.m_registration.m_registered.push_back({name_of(other + 1000), {}});
+        }
+        effect_list effects;
+        reducer_context context{m_now, 0, host.m_settings, host.m_random, host.m_last_id, effects};
+        limits::take_metered_token(host.m_state, context, host.m_members, organisation, limit, 1);
+        for (int check = 0; check < 10; ++check) {
+            context.m_now += 100ms;
+            limits::check_metered_requests(host.m_state, context, host.m_members);
+        }
+        BOOST_TEST_REQUIRE(host.m_state.m_deferred_decisions.size() == 1U);
+        const auto& decided = host.m_state.m_deferred_decisions[0].m_decision;
+        started += std::holds_alternative<limits::granted>(decided) ? 1 : 0;
+    }
+    BOOST_TEST(started <= allowed_starts(1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
