libhost: Let an exception end one event, not the process

Cause: an exception of any handler left the event loop, and the process ended with exit code 3 and all its exchanges. None is known that a message can bring about (found by reading, after what operators of similar systems saw). Change: the loop and the dispatch of events to the reducer log handler-failed and go on. Test: libhost.event_loop; with the plain loop the first exception ends the test.

--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -10,6 +10,7 @@
 #include "libhost/caller_limits_in_force.h"
 #include "libhost/document_exchange.h"
 #include "libhost/process_usage.h"
+#include "libhost/run_loop.h"
 #include "libhost/shared_secret.h"
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/reduce.h"
@@ -310,6 +311,18 @@
         .value_or(response_head{502, {{"X-Request-Id", ""}}});
 }
 
+/// Handles an event. An exception ends the handling of this event only, so that the events behind
+/// it are still handled and the timer is set.
+void host_process::handle_guarded(event_body body)
+{
+    try {
+        handle(std::move(body));
+    }
+    catch (const std::exception& problem) {
+        log_failed_handler(problem);
+    }
+}
+
 void host_process::dispatch_events()
 {
     m_is_dispatch_posted = false;
@@ -317,7 +330,7 @@
         auto body = std::move(m_events.front());
         m_events.pop_front();
         if (!is_stale(body)) {
-            handle(std::move(body));
+            handle_guarded(std::move(body));
         }
     }
     refresh_caller_limits();
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -70,6 +70,7 @@
     void enqueue(event_body body);
     void enqueue_transfer_update(transfer_update update);
     response_head translate_upstream_head(const upstream_request& sent, response_head head);
+    void handle_guarded(event_body body);
     void dispatch_events();
     void refresh_caller_limits();
     void stop_when_flushed();
--- a/libraries/libhost/run_daemon.cpp
+++ b/libraries/libhost/run_daemon.cpp
@@ -3,6 +3,7 @@
 #include "libbase/log_line.h"
 #include "libbase/read_file.h"
 #include "libhost/host_process.h"
+#include "libhost/run_loop.h"
 #include "libsettings/parse_settings.h"
 
 #include <asio/signal_set.hpp>
@@ -132,7 +133,7 @@
         host_process process{loop, std::get<daemon_settings>(std::move(settings)), hooks};
         process.open();
         const daemon_control control{loop, process, settings_path, value_of(text)};
-        loop.run();
+        run_loop(loop);
         return 0;
     }
     catch (const std::exception& problem) {
