libpolicy: Divide gossip and records by data centre in large fleets

Cause: at 358 hosts a view took seven datagrams, sent to any data centre. A change of a host's record was pushed to the first 64 names only, so most hosts learnt of restarted hosts and draining upstreams by gossip. Change: where the members do not fit into one datagram, gossip inside a data centre lists its members in each round and the others in turn; all hosts of a data centre together send its view to each other one twice a round. Timeouts follow the view that they belong to. In fleets of more than 64 hosts a record goes to the own data centre and to two hosts of each other one, which relay it there. A started process asks a peer for all members in its first five rounds. Entries in the store name the data centre. Ruled out: seven datagrams a round (budget); death by a report of others (one host with a bad connection would do harm). Fleets of up to 53 peers send as before.

--- a/libraries/libpolicy/membership/failure_detection.cpp
+++ b/libraries/libpolicy/membership/failure_detection.cpp
@@ -1,5 +1,6 @@
 #include "libpolicy/membership/failure_detection.h"
 
+#include "libpolicy/membership/gossip_view.h"
 #include "libpolicy/membership/timing.h"
 
 #include <algorithm>
@@ -26,14 +27,14 @@
 /// Returns the status that follows from the age of the member's latest known round, from whether
 /// the round is confirmed and from whether the member announced that it leaves.
 member_status status_at(const member& peer, const reducer_context& context,
-                        std::uint32_t datagrams_per_view)
+                        std::uint32_t rounds_per_view)
 {
     // The timeouts are given for rounds of `round_interval` and for gossip that lists all members
-    // in one datagram, so the age is scaled to these.
+    // in each round, so the age is scaled to these.
     const auto since = context.m_now - peer.m_last_round_at;
     const auto age = from_seconds(to_seconds(since) * to_seconds(round_interval) /
                                   to_seconds(context.m_settings.m_gossip.m_round_interval)) /
-                     datagrams_per_view;
+                     rounds_per_view;
     if (age > death_timeout) {
         return member_status::dead;
     }
@@ -58,7 +59,7 @@
 
 void update_status(const membership_state& state, reducer_context& context, member& peer)
 {
-    const auto status = status_at(peer, context, state.m_datagrams_per_view);
+    const auto status = status_at(peer, context, rounds_per_view(state, peer));
     if (status == peer.m_status) {
         return;
     }
--- a/libraries/libpolicy/membership/gossip_round.cpp
+++ b/libraries/libpolicy/membership/gossip_round.cpp
@@ -1,11 +1,15 @@
 #include "libpolicy/membership/gossip_round.h"
 
+#include "libpolicy/membership/gossip_view.h"
 #include "libpolicy/membership/host_records.h"
 #include "libpolicy/membership/membership.h"
+#include "libpolicy/membership/peers.h"
 #include "libpolicy/membership/timing.h"
 
 #include <algorithm>
-#include <iterator>
+#include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace chivevane::membership {
@@ -20,71 +24,16 @@
 /// the cost while many members do not answer.
 constexpr std::size_t unresponsive_probe_limit = 16;
 
+/// Share of the gossip to other data centres that lists members of any. By it, two groups of hosts
+/// of one data centre find each other that know only hosts of others in common.
+constexpr double whole_view_share = 0.1;
+
 /// A probe reports direct reception from its receiver if a datagram came from it within this time.
 constexpr duration reception_window = 10s;
 
-std::uint16_t age_in_ms(duration age)
-{
-    return static_cast<std::uint16_t>(std::clamp<std::int64_t>(to_milliseconds(age), 0, 65'535));
-}
-
-liveness_entry entry_of(const member& peer, instant now)
+peer_list dead_members(const membership_state& state)
 {
-    return {key_of(peer.m_record.m_identity), peer.m_round, peer.m_record.m_version,
-            peer.m_documents_digest_low, age_in_ms(now - peer.m_last_round_at)};
-}
-
-/// Whether gossip lists the member: it is a peer that is not dead and whose round is confirmed.
-bool is_gossiped(const membership_state& state, const std::string& name, const member& peer)
-{
-    return name != state.m_own_record.m_identity.m_name && peer.m_status != member_status::dead &&
-           peer.m_is_confirmed;
-}
-
-/// Returns a gossip message with this host's entry and the entries of the members after the cursor,
-/// as many as fit into one datagram. Advances the cursor.
-gossip next_gossip(membership_state& state, instant now)
-{
-    gossip view{state.m_own_record.m_address,
-                {entry_of(state.m_members.at(state.m_own_record.m_identity.m_name), now)}};
-    auto position = state.m_members.upper_bound(state.m_gossip_cursor);
-    for (std::size_t visited = 0; visited < state.m_members.size(); ++visited) {
-        if (position == state.m_members.end()) {
-            position = state.m_members.begin();
-        }
-        if (is_gossiped(state, position->first, position->second)) {
-            view.m_entries.push_back(entry_of(position->second, now));
-            state.m_gossip_cursor = position->first;
-        }
-        if (view.m_entries.size() > entries_per_gossip) {
-            break;
-        }
-        ++position;
-    }
-    return view;
-}
-
-/// Returns the peers that are not dead, in the order of their names, beginning after this host's
-/// name and wrapping around.
-std::vector<const member*> ring_of(const membership_state& state)
-{
-    std::vector<const member*> ring;
-    const auto self = state.m_members.find(state.m_own_record.m_identity.m_name);
-    const auto add = [&ring](auto first, auto last) {
-        for (; first != last; ++first) {
-            if (first->second.m_status != member_status::dead) {
-                ring.push_back(&first->second);
-            }
-        }
-    };
-    add(std::next(self), state.m_members.end());
-    add(state.m_members.begin(), self);
-    return ring;
-}
-
-std::vector<const member*> dead_members(const membership_state& state)
-{
-    std::vector<const member*> dead;
+    peer_list dead;
     for (const auto& [name, peer] : state.m_members) {
         if (peer.m_status == member_status::dead) {
             dead.push_back(&peer);
@@ -93,16 +42,11 @@
     return dead;
 }
 
-const member* random_member(const std::vector<const member*>& group, reducer_context& context)
-{
-    return group[context.m_random(static_cast<std::uint32_t>(group.size()))];
-}
-
 /// Returns the member of `ring` at the distance chosen for `round`. The distances cycle through the
 /// Fibonacci numbers up to the length of the ring, so that gossip reaches every host in a number of
 /// steps logarithmic in the number of hosts. Powers of two never select a member of the same data
 /// centre where consecutive names alternate between three data centres.
-const member* member_at_stride(const std::vector<const member*>& ring, std::uint32_t round)
+const member* member_at_stride(const peer_list& ring, std::uint32_t round)
 {
     std::vector<std::size_t> strides{1};
     for (std::size_t next = 2; next <= ring.size(); next += strides[strides.size() - 2]) {
@@ -114,23 +58,66 @@
 /// Chooses one receiver in this host's data centre, one in the whole fleet, and a random one,
 /// without duplicates. Without a peer in this data centre, the first is chosen from the whole
 /// fleet.
-std::vector<const member*> choose_receivers(const std::vector<const member*>& ring,
-                                            const std::string& datacentre, std::uint32_t round,
-                                            reducer_context& context)
+peer_list choose_receivers(const membership_state& state, const peer_list& ring,
+                           std::uint32_t round, reducer_context& context)
 {
-    std::vector<const member*> local_ring;
-    std::copy_if(ring.begin(), ring.end(), std::back_inserter(local_ring),
-                 [&](const member* peer) { return peer->m_record.m_datacentre == datacentre; });
-    std::vector<const member*> receivers;
+    const auto local_ring = local_peers(state, ring);
+    peer_list receivers;
     for (const auto* const peer : {member_at_stride(local_ring.empty() ? ring : local_ring, round),
-                                   member_at_stride(ring, round), random_member(ring, context)}) {
+                                   member_at_stride(ring, round), random_peer(ring, context)}) {
         if (std::find(receivers.begin(), receivers.end(), peer) == receivers.end()) {
             receivers.push_back(peer);
         }
     }
+    receivers.resize(
+        std::min<std::size_t>(receivers.size(), context.m_settings.m_gossip.m_gossip_fanout));
     return receivers;
 }
 
+void send_view(membership_state& state, reducer_context& context, const member& receiver,
+               gossip_scope scope, std::string& cursor)
+{
+    emit(context, send_datagram{receiver.m_record.m_address,
+                                next_gossip(state, scope, cursor, context.m_now)});
+}
+
+/// Sends gossip to peers of the own data centre: what is new in it in each round, and a part of
+/// what is known of the others.
+void send_local_gossip(membership_state& state, reducer_context& context, const peer_list& local,
+                       std::uint32_t round)
+{
+    peer_list receivers{member_at_stride(local, round)};
+    if (const auto* const other = random_peer(local, context); other != receivers.front()) {
+        receivers.push_back(other);
+    }
+    const auto datagrams = std::min(local_datagrams_per_round, state.m_local_datagrams_per_view);
+    for (const auto* const receiver : receivers) {
+        for (std::uint32_t sent = 0; sent < datagrams; ++sent) {
+            send_view(state, context, *receiver, gossip_scope::own_datacentre,
+                      state.m_gossip_cursor);
+        }
+        send_view(state, context, *receiver, gossip_scope::other_datacentres,
+                  state.m_remote_gossip_cursor);
+    }
+}
+
+/// Sends gossip about the own data centre to others. All hosts of the data centre share this duty,
+/// so that the bytes between two data centres do not grow with the product of their sizes.
+void send_remote_gossip(membership_state& state, reducer_context& context, const peer_list& local)
+{
+    const auto datacentres = sample_other_datacentres(state, context, 1).size();
+    const auto hosts = static_cast<double>(local.size() + 1);
+    state.m_remote_datagrams_due += views_per_remote_datacentre * static_cast<double>(datacentres) *
+                                    state.m_local_datagrams_per_view / hosts;
+    for (; state.m_remote_datagrams_due >= 1; state.m_remote_datagrams_due -= 1) {
+        const auto* const receiver = random_remote_peer(state, context);
+        const bool lists_all = uniform_fraction(context.m_random) < whole_view_share;
+        send_view(state, context, *receiver,
+                  lists_all ? gossip_scope::all : gossip_scope::own_datacentre,
+                  state.m_outgoing_gossip_cursor);
+    }
+}
+
 void send_probe(membership_state& state, reducer_context& context, member& peer)
 {
     const bool has_recent_datagram =
@@ -166,26 +153,48 @@
     }
 }
 
+/// Returns the addresses from the settings and the store that belong to no live member.
+std::vector<registered_host> unknown_candidates(const membership_state& state,
+                                                const reducer_context& context)
+{
+    auto candidates = state.m_registration.m_registered;
+    for (const auto& seed : context.m_settings.m_seeds) {
+        candidates.push_back({{}, seed});
+    }
+    std::set<host_address> known{state.m_own_record.m_address};
+    for (const auto* const peer : live_peers(state)) {
+        known.insert(peer->m_record.m_address);
+    }
+    std::erase_if(candidates, [&known](const registered_host& candidate) {
+        return known.contains(candidate.m_address);
+    });
+    return candidates;
+}
+
 } // namespace
 
 void send_gossip(membership_state& state, reducer_context& context)
 {
     const auto round = state.m_members.at(state.m_own_record.m_identity.m_name).m_round;
-    if (const auto ring = ring_of(state); !ring.empty()) {
-        auto receivers = choose_receivers(ring, state.m_own_record.m_datacentre, round, context);
-        const auto receiver_limit = context.m_settings.m_gossip.m_gossip_fanout;
-        receivers.resize(std::min<std::size_t>(receivers.size(), receiver_limit));
-        for (const auto* const receiver : receivers) {
-            emit(context,
-                 send_datagram{receiver->m_record.m_address, next_gossip(state, context.m_now)});
+    const auto ring = live_peers(state);
+    const auto local = local_peers(state, ring);
+    if (is_divided_by_datacentre(state) && !local.empty()) {
+        send_local_gossip(state, context, local, round);
+        send_remote_gossip(state, context, local);
+    }
+    else if (!ring.empty()) {
+        for (const auto* const receiver : choose_receivers(state, ring, round, context)) {
+            send_view(state, context, *receiver, gossip_scope::all, state.m_gossip_cursor);
         }
     }
     if (round % dead_member_contact_rounds != 0) {
         return;
     }
     if (const auto dead = dead_members(state); !dead.empty()) {
-        emit(context, send_datagram{random_member(dead, context)->m_record.m_address,
-                                    next_gossip(state, context.m_now)});
+        // The own entry is enough to be found alive; the receiver then requests and gossips the
+        // rest.
+        emit(context, send_datagram{random_peer(dead, context)->m_record.m_address,
+                                    own_gossip(state, context.m_now)});
     }
 }
 
@@ -199,7 +208,7 @@
         }
         const auto timeout = scaled(overdue_timeout, context.m_settings.m_gossip.m_round_interval);
         const bool is_overdue =
-            context.m_now - peer.m_last_round_at > timeout * state.m_datagrams_per_view;
+            context.m_now - peer.m_last_round_at > timeout * rounds_per_view(state, peer);
         if (peer.m_unanswered_probes > 0 || is_overdue || state.m_resume_nonce) {
             send_probe(state, context, peer);
             ++sent;
@@ -208,24 +217,44 @@
     probe_round_robin(state, context);
 }
 
-void contact_candidates(membership_state& state, reducer_context& context)
+void request_whole_view(const membership_state& state, reducer_context& context)
 {
-    const auto& settings = context.m_settings;
-    auto candidates = settings.m_seeds;
-    for (const auto& registered : state.m_registration.m_registered) {
-        candidates.push_back(registered.m_address);
+    const auto peers = live_peers(state);
+    const auto local = local_peers(state, peers);
+    if (const auto& asked = local.empty() ? peers : local; !asked.empty()) {
+        emit(context, send_datagram{random_peer(asked, context)->m_record.m_address,
+                                    host_record_request{context.m_settings.m_address, {}}});
     }
-    for (const auto& [name, peer] : state.m_members) {
-        if (peer.m_status != member_status::dead) {
-            std::erase(candidates, peer.m_record.m_address);
-        }
+}
+
+void send_whole_view(const membership_state& state, reducer_context& context,
+                     const host_address& address)
+{
+    std::string cursor;
+    for (std::size_t listed = 0; listed < state.m_members.size(); listed += entries_per_gossip) {
+        emit(context,
+             send_datagram{address, next_gossip(state, gossip_scope::all, cursor, context.m_now)});
     }
+}
+
+void contact_candidates(membership_state& state, reducer_context& context)
+{
+    auto candidates = unknown_candidates(state, context);
     const auto& self = state.m_members.at(state.m_own_record.m_identity.m_name);
-    for (std::size_t sent = 0; sent < settings.m_gossip.m_contact_fanout && !candidates.empty();
-         ++sent) {
+    std::map<std::string, std::size_t> contacted;
+    for (std::size_t sent = 0;
+         sent < context.m_settings.m_gossip.m_contact_fanout && !candidates.empty();) {
         const auto pick = context.m_random(static_cast<std::uint32_t>(candidates.size()));
-        send_host_record(context, self, candidates[pick]);
+        const auto candidate = std::move(candidates[pick]);
         candidates.erase(candidates.begin() + pick);
+        const bool has_relays = is_large_fleet(state) && !candidate.m_datacentre.empty() &&
+                                candidate.m_datacentre != state.m_own_record.m_datacentre &&
+                                contacted[candidate.m_datacentre] >= relays_per_datacentre;
+        if (!has_relays) {
+            send_host_record(context, self, candidate.m_address);
+            ++contacted[candidate.m_datacentre];
+            ++sent;
+        }
     }
 }
 
--- a/libraries/libpolicy/membership/host_records.cpp
+++ b/libraries/libpolicy/membership/host_records.cpp
@@ -1,6 +1,7 @@
 #include "libpolicy/membership/host_records.h"
 
 #include "libbase/digest.h"
+#include "libpolicy/membership/peers.h"
 #include "libpolicy/membership/timing.h"
 
 #include <algorithm>
@@ -105,17 +106,18 @@
 
 void push_own_record(membership_state& state, reducer_context& context)
 {
-    const auto& own_name = state.m_own_record.m_identity.m_name;
-    const auto& self = state.m_members.at(own_name);
-    auto left = direct_push_limit;
-    for (const auto& [name, peer] : state.m_members) {
-        if (name == own_name || peer.m_status == member_status::dead) {
-            continue;
-        }
-        if (left-- == 0) {
-            return;
-        }
-        send_host_record(context, self, peer.m_record.m_address);
+    const auto& self = state.m_members.at(state.m_own_record.m_identity.m_name);
+    const auto all = live_peers(state);
+    const auto direct = is_large_fleet(state) ? local_peers(state, all) : all;
+    for (const auto* const peer : direct) {
+        send_host_record(context, self, peer->m_record.m_address);
+    }
+    if (!is_large_fleet(state)) {
+        return;
+    }
+    for (const auto* const relay :
+         sample_other_datacentres(state, context, relays_per_datacentre)) {
+        send_host_record(context, self, relay->m_record.m_address);
     }
 }
 
@@ -169,9 +171,14 @@
         auto& requested_at = state.m_record_requests[key];
         const bool is_recent =
             requested_at != instant{} && context.m_now - requested_at < request_retry_interval;
-        if (!is_recent && request.m_keys.size() < keys_per_request) {
-            requested_at = context.m_now;
-            request.m_keys.push_back(key);
+        if (is_recent) {
+            continue;
+        }
+        requested_at = context.m_now;
+        request.m_keys.push_back(key);
+        if (request.m_keys.size() == keys_per_request) {
+            emit(context, send_datagram{address, request});
+            request.m_keys.clear();
         }
     }
     if (!request.m_keys.empty()) {
--- a/libraries/libpolicy/membership/host_records.h
+++ b/libraries/libpolicy/membership/host_records.h
@@ -16,7 +16,8 @@
 /// Sends the record of `peer` to `address`, split into parts that fit into one datagram each.
 void send_host_record(reducer_context& context, const member& peer, const host_address& address);
 
-/// Sends this host's record to its peers that are not dead, but to `direct_push_limit` at most.
+/// Sends this host's record to its peers that are not dead. In a large fleet those are the peers of
+/// the own data centre and a few of each other one, which relay the record.
 void push_own_record(membership_state& state, reducer_context& context);
 
 /// Whether a received record changed what this host knows: `updated` means a newer version of a
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -2,7 +2,9 @@
 
 #include "libpolicy/membership/failure_detection.h"
 #include "libpolicy/membership/gossip_round.h"
+#include "libpolicy/membership/gossip_view.h"
 #include "libpolicy/membership/host_records.h"
+#include "libpolicy/membership/peers.h"
 #include "libpolicy/membership/registration.h"
 #include "libpolicy/membership/timing.h"
 
@@ -92,9 +94,7 @@
     ++self.m_round;
     self.m_last_round_at = context.m_now;
     self.m_documents_digest_low = static_cast<std::uint32_t>(state.m_own_record.m_documents_digest);
-    const auto datagrams_per_view =
-        (count_live_peers(state) + entries_per_gossip - 1) / entries_per_gossip;
-    state.m_datagrams_per_view = std::max(1U, static_cast<std::uint32_t>(datagrams_per_view));
+    update_rounds_per_view(state);
     state.m_new_member_sends = 0;
     std::erase_if(state.m_record_requests, [&](const auto& request) {
         return context.m_now - request.second > round_interval;
@@ -148,6 +148,28 @@
            left.m_phase == right.m_phase;
 }
 
+/// Whether a host that learns of `peer` in a record sent by `sender` answers with its own record.
+/// In a large fleet, hosts of other data centres get it from those to which they send theirs.
+bool is_own_record_expected(const membership_state& state, const member& peer,
+                            const host_identity& sender)
+{
+    return !is_large_fleet(state) || is_local(state, peer) || sender == peer.m_record.m_identity;
+}
+
+/// Sends a record of another data centre on to the own one, if it came from outside.
+void relay_record(const membership_state& state, reducer_context& context, const member& subject,
+                  const host_identity& sender)
+{
+    const auto* const from = find_member(state, sender.m_name);
+    const bool came_from_outside = from != nullptr && !is_local(state, *from);
+    if (!is_large_fleet(state) || !came_from_outside || is_local(state, subject)) {
+        return;
+    }
+    for (const auto* const peer : local_peers(state, live_peers(state))) {
+        send_host_record(context, subject, peer->m_record.m_address);
+    }
+}
+
 /// Sends this host's record to a member that it learnt of, unless this round's limit is reached.
 void send_own_record(membership_state& state, reducer_context& context, const member& new_member)
 {
@@ -223,7 +245,8 @@
     state.m_next_round = now;
 }
 
-void on_host_record(membership_state& state, reducer_context& context, const host_record& record)
+void on_host_record(membership_state& state, reducer_context& context, const host_identity& sender,
+                    const host_record& record)
 {
     const auto& name = record.m_identity.m_name;
     if (is_self(state, name)) {
@@ -246,7 +269,12 @@
     update_status(state, context, *peer);
     if (outcome == merge_outcome::joined) {
         record_status(context, *peer, "joined");
-        send_own_record(state, context, *peer);
+        if (is_own_record_expected(state, *peer, sender)) {
+            send_own_record(state, context, *peer);
+        }
+    }
+    if (outcome != merge_outcome::unchanged) {
+        relay_record(state, context, *peer, sender);
     }
 }
 
@@ -299,6 +327,9 @@
 void on_host_record_request(membership_state& state, reducer_context& context,
                             const host_record_request& request)
 {
+    if (request.m_keys.empty()) {
+        send_whole_view(state, context, request.m_address);
+    }
     for (const auto key : request.m_keys) {
         if (const auto known = state.m_names_by_key.find(key);
             known != state.m_names_by_key.end()) {
@@ -334,6 +365,10 @@
     }
     send_probes(state, context);
     send_gossip(state, context);
+    if (state.m_view_requests_left > 0 && count_live_peers(state) > 0) {
+        --state.m_view_requests_left;
+        request_whole_view(state, context);
+    }
     advance_registration(state.m_registration, context, count_live_peers(state));
 }
 
--- a/libraries/libpolicy/membership/membership.h
+++ b/libraries/libpolicy/membership/membership.h
@@ -21,7 +21,8 @@
 void detect_pause(membership_state& state, reducer_context& context);
 
 /// Handles the record of a host, which the host itself or another one sent.
-void on_host_record(membership_state& state, reducer_context& context, const host_record& record);
+void on_host_record(membership_state& state, reducer_context& context, const host_identity& sender,
+                    const host_record& record);
 
 /// Handles a peer's view of the members and requests the records that are missing or outdated here.
 void on_gossip(membership_state& state, reducer_context& context, const host_identity& sender,
--- a/libraries/libpolicy/membership/registration.cpp
+++ b/libraries/libpolicy/membership/registration.cpp
@@ -53,19 +53,28 @@
     return fmt::format("{}{}", hosts_prefix, context.m_settings.m_self.m_name);
 }
 
-std::string encode_address(const host_address& address)
+/// Encodes the value of this host's entry: its address and data centre.
+std::string encode_entry(const host_settings& settings)
 {
-    return fmt::format("{} {} {} {} {}", address.m_ip, address.m_control_port, address.m_gate_port,
-                       address.m_caller_port, address.m_admin_port);
+    const auto& address = settings.m_address;
+    return fmt::format("{} {} {} {} {} {}", address.m_ip, address.m_control_port,
+                       address.m_gate_port, address.m_caller_port, address.m_admin_port,
+                       settings.m_datacentre);
 }
 
-std::optional<host_address> decode_address(const std::string& text)
+/// Decodes the value of an entry. Older builds write no data centre.
+std::optional<registered_host> decode_entry(std::string name, const std::string& text)
 {
     std::istringstream stream{text};
-    host_address address;
+    registered_host host{std::move(name)};
+    auto& address = host.m_address;
     stream >> address.m_ip >> address.m_control_port >> address.m_gate_port >>
         address.m_caller_port >> address.m_admin_port;
-    return stream ? std::optional{address} : std::nullopt;
+    if (!stream) {
+        return std::nullopt;
+    }
+    stream >> host.m_datacentre;
+    return host;
 }
 
 void call(registration_state& state, reducer_context& context, registration_step step,
@@ -80,12 +89,12 @@
     state.m_has_read_hosts = true;
     state.m_registered.clear();
     for (const auto& entry : entries.m_entries) {
-        const auto address = decode_address(entry.m_value);
+        auto host = decode_entry(entry.m_key.substr(hosts_prefix.size()), entry.m_value);
         if (entry.m_key == own_key(context)) {
             state.m_key_version = entry.m_version;
         }
-        else if (address && *address != context.m_settings.m_address) {
-            state.m_registered.push_back({entry.m_key.substr(hosts_prefix.size()), *address});
+        else if (host && host->m_address != context.m_settings.m_address) {
+            state.m_registered.push_back(std::move(*host));
         }
     }
     if (!state.m_is_registered) {
@@ -179,7 +188,7 @@
     else if (!state.m_is_registered) {
         call(state, context, registration_step::writing,
              store_compare_and_swap{own_key(context), state.m_key_version,
-                                    encode_address(context.m_settings.m_address), state.m_lease});
+                                    encode_entry(context.m_settings), state.m_lease});
     }
     else {
         call(state, context, registration_step::renewing, store_renew_lease{state.m_lease});
--- a/libraries/libpolicy/membership/registration_state.h
+++ b/libraries/libpolicy/membership/registration_state.h
@@ -16,6 +16,7 @@
 struct registered_host {
     std::string m_name;
     host_address m_address;
+    std::string m_datacentre; ///< Empty if a build wrote the entry that does not state it.
 };
 
 /// State of this host's entry in the store. New hosts find peers by these entries; nothing else
--- a/libraries/libpolicy/membership/timing.h
+++ b/libraries/libpolicy/membership/timing.h
@@ -29,10 +29,22 @@
 /// Number of members that one gossip datagram lists besides the sender, at 22 bytes each.
 constexpr std::size_t entries_per_gossip = 53;
 
-/// Largest number of peers to which a host pushes its record directly. In larger fleets the others
-/// request it.
+/// Largest number of peers to which a host pushes its record directly. In larger fleets it pushes
+/// the record to its data centre and to a few hosts of each other one, which relay it there.
 constexpr std::size_t direct_push_limit = 64;
 
+/// Number of hosts of each other data centre that get a record to relay it. The second one makes up
+/// for a loss of the first datagram.
+constexpr std::size_t relays_per_datacentre = 2;
+
+/// Number of gossip datagrams about the own data centre that a receiver in it gets in one round, if
+/// gossip is divided by data centre.
+constexpr std::uint32_t local_datagrams_per_round = 2;
+
+/// How many times the hosts of a data centre together send their view of it to each other data
+/// centre in one round, if gossip is divided by data centre.
+constexpr double views_per_remote_datacentre = 2;
+
 /// Number of consecutive unanswered probes after which the network path to a member or back counts
 /// as broken.
 constexpr std::uint32_t unreachable_after_probes = 7;
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -121,7 +121,7 @@
     const auto& sender = received.m_sender;
     std::visit(overloaded{
                    [&](const host_record& record) {
-                       membership::on_host_record(self.m_membership, context, record);
+                       membership::on_host_record(self.m_membership, context, sender, record);
                        configuration::on_host_record(self.m_configuration, context, record);
                    },
                    [&](const document_revisions& revisions) {
--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -176,6 +176,9 @@
         ++sender.m_datagrams;
         sender.m_bytes += value_of(encode_datagram(packet, "secret")).size() + 28;
     }
+    if (m_on_datagram) {
+        m_on_datagram(from, item.m_to, packet);
+    }
     const auto target = find_running_host(item.m_to);
     if (target && !is_lost(from, *target)) {
         const auto delay = from_seconds(to_seconds(m_longest_delay) * uniform_fraction(m_random));
--- a/tests/libpolicy/fleet_fixture.h
+++ b/tests/libpolicy/fleet_fixture.h
@@ -2,6 +2,7 @@
 
 #include "libpolicy/reduce.h"
 #include "libpolicy/store_stub.h"
+#include "libwire/datagram.h"
 
 #include <functional>
 #include <memory>
@@ -98,6 +99,9 @@
 
     bool m_counts_membership_traffic = false;
 
+    /// Called with the sender, the address and the message of each datagram; may be empty.
+    std::function<void(std::size_t, const host_address&, const datagram&)> m_on_datagram;
+
     /// Whether messages from the first host to the second are lost; may be empty.
     std::function<bool(std::size_t, std::size_t)> m_drops_messages;
 
