libpolicy: Spread the two calls by which a host registers again

Cause: libpolicy.store_calls (known red) saw 8 or 9 registration calls in one second of 60 hosts after an outage, allowed are 7.5: each host wrote its entry in the instant in which its lease was granted, so the calls came in pairs. Change: a host with peers waits up to 10 s between the two calls. One without peers still writes at once, or others that start would not find it.

--- a/libraries/libpolicy/membership/registration.cpp
+++ b/libraries/libpolicy/membership/registration.cpp
@@ -104,11 +104,21 @@
     }
 }
 
+/// Returns the time between the grant of a lease and the write of the entry, for hosts that need
+/// not be found soon. Their two calls should not fall into the same second: after an outage of the
+/// store many hosts make them.
+duration delay_before_write(const registration_state& state, reducer_context& context)
+{
+    const auto longest = state.m_registered.empty() ? duration{} : registration_jitter;
+    return from_seconds(to_seconds(longest) * uniform_fraction(context.m_random));
+}
+
 void on_lease(registration_state& state, reducer_context& context, const store_lease& granted)
 {
     state.m_lease = granted.m_lease;
     state.m_next_call =
-        state.m_is_registered ? context.m_now + jittered(renewal_interval, context) : context.m_now;
+        context.m_now + (state.m_is_registered ? jittered(renewal_interval, context)
+                                               : delay_before_write(state, context));
 }
 
 void on_written(registration_state& state, reducer_context& context, const store_written& written)
@@ -154,10 +164,14 @@
          store_read{std::string{hosts_prefix}, read_consistency::recent});
 }
 
-/// Returns the time of the next call. A host without peers reads the list of hosts between
-/// renewals.
+/// Returns the time of the next call. A host without peers writes its entry as soon as it has a
+/// lease, and reads the list of hosts between renewals.
 instant due_at(const registration_state& state, std::size_t live_peers)
 {
+    const bool is_write_next = state.m_lease != 0 && !state.m_is_registered;
+    if (is_write_next && live_peers == 0 && state.m_failures == 0) {
+        return instant::min();
+    }
     const bool is_reread_pending =
         state.m_is_registered && live_peers == 0 && state.m_failures == 0;
     return is_reread_pending ? std::min(state.m_next_call, state.m_next_read) : state.m_next_call;
--- a/tests/libpolicy/store_calls_test.cpp
+++ b/tests/libpolicy/store_calls_test.cpp
@@ -1,3 +1,4 @@
+#include "libpolicy/count_from_environment.h"
 #include "libpolicy/fleet_fixture.h"
 
 #include <algorithm>
@@ -64,24 +65,27 @@
 
 BOOST_AUTO_TEST_CASE(a_recovering_store_is_not_overloaded)
 {
-    fleet hosts{60, 4};
-    hosts.start_all();
-    hosts.run_for(1min);
-    for (const auto mode : {store_mode::unanswered, store_mode::unreachable}) {
-        hosts.m_store_mode = mode;
-        hosts.run_for(100s); // The backoff grows for 200 s in both modes together.
+    const auto last_seed = 3 + count_from_environment("CHIVEVANE_SEEDS", 1);
+    for (std::uint64_t seed = 4; seed <= last_seed; ++seed) {
+        fleet hosts{60, seed};
+        hosts.start_all();
+        hosts.run_for(1min);
+        for (const auto mode : {store_mode::unanswered, store_mode::unreachable}) {
+            hosts.m_store_mode = mode;
+            hosts.run_for(100s); // The backoff grows for 200 s in both modes together.
+        }
+        hosts.m_store_mode = store_mode::up;
+        hosts.m_store_calls.clear();
+        hosts.run_for(4min);
+        const double share = 60 / largest_fleet;
+        const auto writes = peak_per_second(hosts, true);
+        const auto reads = peak_per_second(hosts, false);
+        BOOST_TEST_MESSAGE("seed " << seed << ", peak after the outage: " << writes << " writes/s, "
+                                   << reads << " reads/s of 60 hosts");
+        BOOST_TEST(writes <= store_writes_per_second * share);
+        BOOST_TEST(reads <= store_reads_per_second * share);
+        BOOST_TEST(hosts.m_store.read("/chivevane/hosts/").m_entries.size() == 60U);
     }
-    hosts.m_store_mode = store_mode::up;
-    hosts.m_store_calls.clear();
-    hosts.run_for(4min);
-    const double share = 60 / largest_fleet;
-    const auto writes = peak_per_second(hosts, true);
-    const auto reads = peak_per_second(hosts, false);
-    BOOST_TEST_MESSAGE("peak after the outage: " << writes << " writes/s, " << reads
-                                                 << " reads/s of 60 hosts");
-    BOOST_TEST(writes <= store_writes_per_second * share);
-    BOOST_TEST(reads <= store_reads_per_second * share);
-    BOOST_TEST(hosts.m_store.read("/chivevane/hosts/").m_entries.size() == 60U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
