libpolicy: Let started hosts find each other before they watch the store

Cause: of 360 hosts that start together, most watched the store, since they knew too few peers to see that others were the watchers: 274 calls in the model. Change: a process does not watch in its first two seconds, after its first full read. It asks for the members in every second round, and asks any peer while it knows few of its own data centre.

--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -25,6 +25,10 @@
 /// Time until a host that does not need the store checks whether this is still true.
 constexpr duration role_check_interval = 500ms;
 
+/// Time after the start of a process in which it does not watch, because it does not know yet which
+/// hosts of its data centre are the watchers. What changes meanwhile is in its first watch.
+constexpr duration watch_start_delay = 2s;
+
 /// Age of the last confirmation from which a host reads from the store itself.
 constexpr duration isolation_timeout = 1500ms;
 
@@ -163,7 +167,8 @@
     if (state.m_is_store_call_pending || now < state.m_next_store_call) {
         return;
     }
-    state.m_is_watcher = is_watcher(state, members);
+    state.m_is_watcher =
+        now - state.m_started_at >= watch_start_delay && is_watcher(state, members);
     // A host without contact keeps calling, since it is the first to notice that it has contact.
     const bool needs_store = !state.m_is_ready || is_isolated(state, now) || state.m_is_watcher ||
                              state.m_store_contact == store_contact::unreachable;
--- a/libraries/libpolicy/membership/gossip_round.cpp
+++ b/libraries/libpolicy/membership/gossip_round.cpp
@@ -171,6 +171,16 @@
     return candidates;
 }
 
+/// Whether this host knows less than half as many hosts of its data centre as of others on average.
+/// The few may then know no more of it than this host does.
+bool knows_few_local_peers(const membership_state& state, reducer_context& context,
+                           const peer_list& local)
+{
+    const auto remote = remote_peers(state, live_peers(state)).size();
+    const auto datacentres = sample_other_datacentres(state, context, 1).size();
+    return 2 * datacentres * local.size() < remote;
+}
+
 } // namespace
 
 void send_gossip(membership_state& state, reducer_context& context)
@@ -221,7 +231,8 @@
 {
     const auto peers = live_peers(state);
     const auto local = local_peers(state, peers);
-    if (const auto& asked = local.empty() ? peers : local; !asked.empty()) {
+    if (const auto& asked = knows_few_local_peers(state, context, local) ? peers : local;
+        !asked.empty()) {
         emit(context, send_datagram{random_peer(asked, context)->m_record.m_address,
                                     host_record_request{context.m_settings.m_address, {}}});
     }
--- a/libraries/libpolicy/membership/gossip_round.h
+++ b/libraries/libpolicy/membership/gossip_round.h
@@ -18,7 +18,8 @@
 /// such.
 void send_probes(membership_state& state, reducer_context& context);
 
-/// Asks a peer, of the own data centre if there is one, to list all members that it knows.
+/// Asks a peer, of the own data centre if this host knows enough of it, to list all members that it
+/// knows.
 void request_whole_view(const membership_state& state, reducer_context& context);
 
 /// Lists all members that this host knows in gossip to `address`.
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -37,6 +37,10 @@
 /// as gone.
 constexpr duration view_completion_limit = 5s;
 
+/// Number of rounds between two requests of a started process for all members. Where many hosts
+/// start together, its peers learn of the others in the meantime.
+constexpr std::uint32_t view_request_rounds = 2;
+
 /// Share of the registered hosts that are known when the view of a started process is complete. The
 /// others may be gone, as entries outlive their hosts.
 constexpr double complete_view_share = 0.8;
@@ -365,7 +369,8 @@
     }
     send_probes(state, context);
     send_gossip(state, context);
-    if (state.m_view_requests_left > 0 && count_live_peers(state) > 0) {
+    const bool is_view_request_due = self_of(state).m_round % view_request_rounds == 0;
+    if (is_view_request_due && state.m_view_requests_left > 0 && count_live_peers(state) > 0) {
         --state.m_view_requests_left;
         request_whole_view(state, context);
     }
