libpolicy: Refuse attempts that may have waited through a pause of their gate

Cause: the time that an attempt has left is relative, and its gate counted it from when it read the attempt. A gate that was paused for longer started it as if nothing had passed, for a caller whose time was over (found by a test, after what operators of similar systems saw). Change: from the first event after a pause until a probe sent after it is answered, a gate refuses the attempts of other hosts as not run, so that they go elsewhere. Attempts of its own ingress are as old as they seem. Ruled out: subtracting the pause from the time left, as an attempt that came after the pause cannot be told from one before it. Test: libpolicy.gate_attempts; on the code before the attempt starts.

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -72,6 +72,15 @@
                                                           : arrival_check::may_have_run;
 }
 
+/// Whether the attempt may have waited in a socket while this process was paused. The time that it
+/// has left is counted from when its ingress sent it, so it may have run out.
+bool may_have_waited_in_pause(const host_state& self, const reducer_context& context,
+                              const attempt_metadata& metadata)
+{
+    return membership::has_stale_view(self.m_membership) &&
+           metadata.m_attempt.m_ingress != context.m_settings.m_self;
+}
+
 void accept_attempt(host_state& self, reducer_context& context, const inbound_request& request,
                     const attempt_metadata& metadata)
 {
@@ -103,7 +112,8 @@
         refuse_attempt(self, context, metadata.m_attempt, refusal_kind::no_upstream);
         return;
     }
-    if (is_outdated(state.m_revisions, metadata.m_document, metadata.m_revision, context.m_now)) {
+    if (may_have_waited_in_pause(self, context, metadata) ||
+        is_outdated(state.m_revisions, metadata.m_document, metadata.m_revision, context.m_now)) {
         refuse_attempt(self, context, metadata.m_attempt, refusal_kind::not_ready);
         return;
     }
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -4,6 +4,7 @@
 #include "libpolicy/host_fixture.h"
 #include "libwire/attempt_metadata.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace chivevane;
@@ -227,4 +228,25 @@
     BOOST_TEST(effects_of_type<start_transfer>(send(next_attempt(), reading())).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_attempt_that_waited_through_a_pause_of_its_gate_is_not_run)
+{
+    advance(100ms);
+    const auto before_pause = reading();
+    m_now += 3s; // Longer than the 2 s that the attempts have left.
+    const auto effects = send(next_attempt(), before_pause);
+    BOOST_TEST(execution_status_of(effects) == "not-run");
+    BOOST_TEST(effects_of_type<start_transfer>(effects).empty());
+
+    // A probe that is sent after the pause and answered shows that nothing older is left to read.
+    const auto round = advance(1ms);
+    const auto datagrams = effects_of_type<send_datagram>(round);
+    const auto sent =
+        std::find_if(datagrams.begin(), datagrams.end(), [](const send_datagram& each) {
+            return std::holds_alternative<probe>(each.m_message);
+        });
+    BOOST_TEST_REQUIRE((sent != datagrams.end()));
+    feed(datagram_received{m_peer, 3, {}, probe_ack{std::get<probe>(sent->m_message).m_nonce, 1}});
+    BOOST_TEST(!effects_of_type<start_transfer>(send(next_attempt(), reading())).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
