--- a/review/standins.py
+++ b/review/standins.py
@@ -248,6 +248,7 @@
         self.arrivals = []  # Seconds and attempt id of each request that reached it.
         self.runs = {}      # Number of runs by attempt id.
         self.work = self.quick_work
+        self.work_on_request = None  # In place of `work`, if it has to know the fields of the request.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.machine.ip, 8547, limit=2**20)
@@ -315,13 +316,16 @@
                 self.arrivals.append((self.record.now(), attempt))
                 self.runs[attempt] = self.runs.get(attempt, 0) + 1
                 self.record.write(f"run {attempt} by {self.name}: {method} {target}, {len(body)} bytes")
-                await self.work(writer, attempt, method, target)
+                if self.work_on_request:
+                    await self.work_on_request(writer, attempt, target, fields)
+                else:
+                    await self.work(writer, attempt, method, target)
                 await writer.drain()
         except (EOFError, OSError, ValueError, asyncio.IncompleteReadError):
             pass
         finally:
             self.writers.discard(writer)
-            writer.close()
+            writer.transport.abort()
 
     def answer_fields(self, attempt):
         return {"Chivevane-Attempt-Id": attempt, "Chivevane-Server-Signature": f"{self.name}.{attempt}"}
