--- a/review/standins.py
+++ b/review/standins.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -415,28 +416,34 @@
     return head.encode() + b"\r\n" + body
 
 
+async def exchange(answer, machine, request):
+    """Sends a request on a new connection and reads the answer as far as it comes."""
+    writer = None
+    try:
+        reader, writer = await asyncio.open_connection(machine.ip, 8548, limit=2**20)
+        writer.write(request)
+        await writer.drain()
+        line, answer.fields = await read_head(reader)
+        status = int(line.split(" ")[1])
+        answer.end = f"{status}, incomplete"
+        answer.body = await read_body(reader, answer.fields, True)
+        answer.status, answer.end = status, str(status)
+    finally:
+        if writer:
+            writer.close()
+
+
 async def send_request(record, machine, method, host, path, deadline_ms, body=b"", key=None):
     """Sends one request on a new connection and waits for the whole answer until the deadline."""
     answer = Answer(new_attempt())
     answer.sent_at = record.now()
-    writer = None
+    request = format_request(answer.attempt, method, host, path, deadline_ms, body, key)
     try:
-        async with asyncio.timeout(deadline_ms / 1000):
-            reader, writer = await asyncio.open_connection(machine.ip, 8548, limit=2**20)
-            writer.write(format_request(answer.attempt, method, host, path, deadline_ms, body, key))
-            await writer.drain()
-            line, answer.fields = await read_head(reader)
-            status = int(line.split(" ")[1])
-            answer.end = f"{status}, incomplete"
-            answer.body = await read_body(reader, answer.fields, True)
-            answer.status, answer.end = status, str(status)
-    except TimeoutError:
+        await asyncio.wait_for(exchange(answer, machine, request), deadline_ms / 1000)
+    except asyncio.TimeoutError:
         answer.end += ", deadline passed"
     except (OSError, EOFError, asyncio.IncompleteReadError) as problem:
         answer.end += f", connection ended ({type(problem).__name__})"
-    finally:
-        if writer:
-            writer.close()
     answer.ended_at = record.now()
     record.write(f"request {answer.attempt} by way of {machine.name}: {answer.end} "
                  f"after {answer.ended_at - answer.sent_at:.3f} s")
@@ -491,6 +498,7 @@
             machine.log.close()
         if self.store.server:
             self.store.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def wait_until_served(record, machine, host, path, seconds=20):
@@ -507,15 +515,17 @@
 def run_case(folder, layout, config, play):
     """Plays a case: `play` returns a list of breaches. Exits with 1 if there are any, 0 if not, else 2."""
 
+    async def play_once(record, deployment):
+        await deployment.start(config)
+        return await play(record, deployment)
+
     async def run():
         record = Record(folder / "record.txt")
         record.write(f"TROUBLE={int(TROUBLE)}")
         deployment = None
         try:
-            async with asyncio.timeout(115):
-                deployment = Deployment(record, layout)
-                await deployment.start(config)
-                breaches = await play(record, deployment)
+            deployment = Deployment(record, layout)
+            breaches = await asyncio.wait_for(play_once(record, deployment), 115)
             for breach in breaches[:20]:
                 record.write(f"BROKEN: {breach}")
             record.write(f"{len(breaches)} breaches")
