--- a/tests/platform/header_translation_test.cpp
+++ b/tests/platform/header_translation_test.cpp
@@ -100,6 +100,31 @@
     }
 }
 
+/// Guards against passing a failure of an endpoint that has run the request on as the promise that
+/// it has not: the caller would send it again, and it would run twice.
+BOOST_AUTO_TEST_CASE(only_an_answer_that_says_not_executed_promises_the_caller_that_it_has_not_run)
+{
+    const std::vector<std::vector<http_field>> proofs{
+        {}, {m_echo}, {m_signature}, {m_echo, m_signature}, {m_echo, {"X-Not-Run", "1"}}};
+    for (const std::uint16_t status : {408, 429, 503}) {
+        for (const auto& fields : proofs) {
+            const auto head = read(status, fields);
+            if (!head) {
+                continue; // Such an answer is not relayed at all.
+            }
+            BOOST_TEST(value(head->m_fields, "X-Not-Run") == "(none)");
+            const auto answer = write_caller_answer(m_request, *head);
+            BOOST_TEST_CONTEXT("status " << status << " with " << fields.size() << " fields")
+            {
+                BOOST_TEST(answer.m_status == 502);
+                BOOST_TEST(value(answer.m_fields, "Chivevane-Server-Signature") == "(none)");
+            }
+        }
+        const auto refused = read(status, {m_echo, {"Chivevane-Not-Executed", "1"}});
+        BOOST_TEST(refused.value().m_status == status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_health_answer_gives_the_endpoint_and_its_remaining_warm_up_time)
 {
     const auto head = read_health_answer(
