platform: Need a key while the table of tenants is empty

Cause: a table of tenants without entries was taken for a configuration without the table, which opens all routes.

--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -71,6 +71,25 @@
     BOOST_TEST(version_of("[]").empty());
 }
 
+/// Guards against opening all routes when the operator takes away the last tenant.
+BOOST_AUTO_TEST_CASE(a_table_of_tenants_without_entries_leaves_only_public_routes_open)
+{
+    for (const std::string tenants : {"{}", "null"}) {
+        const auto read = read_operator_document(
+            R"({"routes":{"a":{"prefix":"/a/","service":"s","public":false},
+                "b":{"prefix":"/b/","service":"s"},
+                "c":{"prefix":"/c/","service":"s","public":true}},
+                "services":{"s":{}},"tenants":)" +
+                tenants + "}",
+            {}, 0.5);
+        BOOST_TEST_REQUIRE(!is_error(read));
+        const auto& routes = value_of(read).m_routes;
+        BOOST_TEST((routes.at(0).m_access == route_access::keyed));
+        BOOST_TEST((routes.at(1).m_access == route_access::keyed));
+        BOOST_TEST((routes.at(2).m_access == route_access::open_to_all));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_documents_revision_grows_with_every_change)
 {
     operator_view view;
