tests: Compare the fetched document in the words of the check before

Cause: the change that sends documents parsed wrote an existing check in other words, equally strict, which reads like a check taken out. Change: the line stands as it was, and the new checks below it name the same document. Result: document_exchange passes, 5 cases.

--- a/tests/libhost/document_exchange_test.cpp
+++ b/tests/libhost/document_exchange_test.cpp
@@ -47,10 +47,9 @@
 {
     const auto answer = fetch("tides", "secret");
     BOOST_TEST_REQUIRE(answer.m_document.has_value());
-    const auto& sent = m_configuration.m_documents["tides"];
-    BOOST_TEST((*answer.m_document == sent.m_stored));
+    BOOST_TEST((*answer.m_document == m_configuration.m_documents["tides"].m_stored));
     BOOST_TEST_REQUIRE(answer.m_parsed_document != nullptr);
-    BOOST_TEST((*answer.m_parsed_document == *sent.m_document));
+    BOOST_TEST((*answer.m_parsed_document == *m_configuration.m_documents["tides"].m_document));
 }
 
 BOOST_AUTO_TEST_CASE(a_newer_revision_replaces_the_cached_answer)
