tests: Count the bytes to parse in a function of its own in the fleet model

Cause: the model decoded the documents of each changed entry also where they cost nothing, in one long function. Change: it returns at once without costs, and the store's answer is counted apart.

--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -24,6 +24,20 @@
            std::holds_alternative<host_record_request>(body);
 }
 
+/// Returns the size of the documents in the store's answer that come without their parsed form.
+std::size_t unparsed_bytes(const store_outcome& outcome)
+{
+    std::size_t bytes = 0;
+    if (const auto* const entries = std::get_if<store_entries>(&outcome); entries != nullptr) {
+        for (const auto& entry : entries->m_entries) {
+            const auto transferred = decode_document_transfer(entry.m_value);
+            const bool is_parsed = transferred && transferred->m_parsed_document != nullptr;
+            bytes += is_parsed ? 0 : entry.m_value.size();
+        }
+    }
+    return bytes;
+}
+
 std::int64_t wall_ms(instant now)
 {
     return 1'700'000'000'000 + to_milliseconds(now.time_since_epoch());
@@ -236,26 +250,21 @@
     return sender.m_link_free_at - m_now;
 }
 
-/// Returns how long a host parses the documents of an event.
+/// Returns how long a host parses the documents of an event that come as text alone.
 duration fleet::parse_time(const event_body& body) const
 {
+    if (!m_document_costs) {
+        return {};
+    }
     std::size_t text_bytes = 0;
     if (const auto* const fetched = std::get_if<document_fetched>(&body);
         fetched != nullptr && fetched->m_document && fetched->m_parsed_document == nullptr) {
-        text_bytes += fetched->m_document->m_text.size();
+        text_bytes = fetched->m_document->m_text.size();
     }
-    const auto* const response = std::get_if<store_response>(&body);
-    if (const auto* const entries =
-            response == nullptr ? nullptr : std::get_if<store_entries>(&response->m_outcome)) {
-        for (const auto& entry : entries->m_entries) {
-            const auto transferred = decode_document_transfer(entry.m_value);
-            const bool is_parsed = transferred && transferred->m_parsed_document != nullptr;
-            text_bytes += is_parsed ? 0 : entry.m_value.size();
-        }
+    if (const auto* const response = std::get_if<store_response>(&body); response != nullptr) {
+        text_bytes = unparsed_bytes(response->m_outcome);
     }
-    return m_document_costs
-               ? from_seconds(static_cast<double>(text_bytes) / m_document_costs->m_parse_rate)
-               : duration{};
+    return from_seconds(static_cast<double>(text_bytes) / m_document_costs->m_parse_rate);
 }
 
 void fleet::call(std::size_t from, const call_store& item)
