--- a/tests/libpolicy/change_delay_test.cpp
+++ b/tests/libpolicy/change_delay_test.cpp
@@ -276,3 +276,26 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(silent_store)
+
+/// Guards against changes that nobody notices while the store answers no call of any watcher,
+/// though it answers other hosts: the connections stay open, so nothing fails for seconds.
+BOOST_AUTO_TEST_CASE(a_change_is_not_late_where_the_store_is_silent_to_all_watchers)
+{
+    std::size_t late = 0;
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        auto hosts = running_fleet(seed);
+        const auto ignored = watchers(hosts);
+        hosts.m_is_ignored_by_store = [ignored](std::size_t host) {
+            return std::find(ignored.begin(), ignored.end(), host) != ignored.end();
+        };
+        publish(hosts, 2);
+        hosts.run_for(apply_limit);
+        late += count_late(hosts, 2);
+    }
+    BOOST_TEST_MESSAGE("hosts that were late: " << late);
+    BOOST_TEST(late == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -17,6 +17,9 @@
 constexpr duration store_timeout = 1s; // After this a host process reports a failed call.
 constexpr duration expiry_interval = 100ms;
 
+/// Time after which a host process gives up a waiting call whose connection has gone silent.
+constexpr duration silence_timeout = 5s;
+
 bool is_membership_message(const message& body)
 {
     return std::holds_alternative<host_record>(body) || std::holds_alternative<gossip>(body) ||
@@ -281,6 +284,10 @@
                                 store_failure{store_failure_kind::not_done, {}}});
         return;
     }
+    if (m_is_ignored_by_store && m_is_ignored_by_store(from)) {
+        schedule(from, silence_timeout, unknown);
+        return;
+    }
     auto answers = m_store.handle(from, item, m_now);
     const bool is_write = std::holds_alternative<store_compare_and_swap>(item.m_operation);
     const bool is_unanswered = m_store_mode == store_mode::unanswered ||
@@ -296,6 +303,12 @@
 void fleet::schedule_answers(const std::vector<store_stub::answer>& answers)
 {
     for (const auto& due : answers) {
+        if (m_is_ignored_by_store && m_is_ignored_by_store(due.m_host)) {
+            schedule(due.m_host, silence_timeout,
+                     store_response{due.m_response.m_operation_id, due.m_response.m_purpose,
+                                    store_failure{store_failure_kind::unknown, {}}});
+            continue;
+        }
         const bool is_failure = std::holds_alternative<store_failure>(due.m_response.m_outcome);
         const bool is_delayed =
             m_watch_delay && due.m_response.m_purpose == store_purpose::document_watch;
--- a/tests/libpolicy/fleet_fixture.h
+++ b/tests/libpolicy/fleet_fixture.h
@@ -116,6 +116,9 @@
     /// Whether a host cannot reach the store; may be empty.
     std::function<bool(std::size_t)> m_is_partitioned_from_store;
 
+    /// Whether the store accepts a host's connections and calls but answers none; may be empty.
+    std::function<bool(std::size_t)> m_is_ignored_by_store;
+
     /// Time by which the store's answer to a watch of a host is delayed; may be empty.
     std::function<duration(std::size_t)> m_watch_delay;
 
