tests: Check that a table of tenants that cannot be read opens no route

Change: a case with lists, numbers and text in its place. Result: passes as the code stands: such a configuration is refused, or its routes need a key.

--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -90,6 +90,25 @@
     }
 }
 
+// Guards against a table of tenants that cannot be read being taken for the lack of one, which
+// opens all routes.
+BOOST_AUTO_TEST_CASE(a_table_of_tenants_that_cannot_be_read_opens_no_route)
+{
+    for (const std::string tenants :
+         {"[]", "7", "\"none\"", "[{}]", R"({"parish":7})", R"({"parish":{"api-keys":7}})",
+          R"({"parish":{"api-keys":[7]}})"}) {
+        const auto read = read_operator_document(
+            R"({"routes":{"a":{"prefix":"/a/","service":"s","public":false}},
+                "services":{"s":{}},"tenants":)" +
+                tenants + "}",
+            {}, 0.5);
+        // A configuration that cannot be read leaves the one before it in force.
+        const bool is_closed =
+            is_error(read) || value_of(read).m_routes.at(0).m_access == route_access::keyed;
+        BOOST_TEST(is_closed, tenants);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_document_entry_holds_what_parsing_its_text_would_give)
 {
     operator_view view;
