admission: Follow announcements only where gates are asked in turn

Change: the limit follows announcements with placement probing alone; the weighted mode is served as before.

--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -37,11 +37,13 @@
     return upstream.m_cold_bounds.m_start_rate > 0;
 }
 
-/// What the concurrency limit is learnt from. A limit beside a configured start rate only paces
-/// starts after refusals, as for a cold upstream.
-warm_up_state basis_of_limit(const upstream_admission& upstream)
+/// The warm-up state that the concurrency limit starts from. A limit beside a configured start rate
+/// only paces starts after refusals, as for a cold upstream.
+warm_up_state basis_of_limit(const admission_state& state, const upstream_admission& upstream)
 {
-    return is_rate_limited(upstream) ? warm_up_state::cold : upstream.m_announced;
+    const bool is_learnt_from_one =
+        is_rate_limited(upstream) || state.m_limit_basis == limit_basis::answers;
+    return is_learnt_from_one ? warm_up_state::cold : upstream.m_announced;
 }
 
 /// How many attempts may run at once. If the start rate that a cold upstream tolerates is
@@ -175,7 +177,7 @@
     const auto ahead =
         static_cast<std::int64_t>(count_ahead(upstream.m_queue, flow_of(attempt), now));
     const auto wait_by_rate = time_for_starts(upstream.m_accepted_rate, ahead);
-    if (is_rate_limited(upstream) || upstream.m_announced == warm_up_state::warm) {
+    if (is_rate_limited(upstream) || upstream.m_limit.m_announced == warm_up_state::warm) {
         const auto mean = from_seconds(upstream.m_mean_run_s);
         const auto own = attempt.m_expected_run == duration{} ? mean : attempt.m_expected_run;
         const duration wait = mean * (ahead + 1) / concurrency_of(upstream);
@@ -209,7 +211,7 @@
         set_rate(upstream.m_accepted_rate, std::nullopt, now);
     }
     upstream.m_announced = announced;
-    const auto basis = basis_of_limit(upstream);
+    const auto basis = basis_of_limit(state, upstream);
     if (is_new || became_cold || run == announced_run::new_run ||
         basis != upstream.m_limit.m_announced) {
         restart(upstream.m_limit, basis, now);
@@ -224,7 +226,7 @@
     }
     auto& upstream = found->second;
     upstream.m_cold_bounds = bounds;
-    if (const auto basis = basis_of_limit(upstream); basis != upstream.m_limit.m_announced) {
+    if (const auto basis = basis_of_limit(state, upstream); basis != upstream.m_limit.m_announced) {
         restart(upstream.m_limit, basis, upstream.m_limit.m_reset_at);
     }
 }
--- a/libraries/libpolicy/admission/admission_state.h
+++ b/libraries/libpolicy/admission/admission_state.h
@@ -38,9 +38,16 @@
     instant m_refused_at = instant::min(); ///< When an attempt of `m_refused_priority` was refused.
 };
 
+/// What tells how many requests a warm upstream without a configured start rate runs at once.
+enum class limit_basis : std::uint8_t {
+    answers,      ///< Its answers alone, from one request upwards.
+    announcement, ///< The slots that it announces, less what refusals and a risen latency show.
+};
+
 /// Admission state of all upstreams of this host.
 struct admission_state {
     std::map<std::string, upstream_admission, std::less<>> m_upstreams; ///< By endpoint.
+    limit_basis m_limit_basis = limit_basis::answers;
 };
 
 } // namespace chivevane
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -283,6 +283,9 @@
     auto& self = started.m_state;
     self.m_settings = std::move(settings);
     self.m_random.seed(self.m_settings.m_random_seed);
+    self.m_admission.m_limit_basis = self.m_settings.m_placement == placement_mode::probing
+                                         ? limit_basis::announcement
+                                         : limit_basis::answers;
     auto context = make_context(self, now, wall_ms, started.m_effects);
     membership::start(self.m_membership, context);
     configuration::start(self.m_configuration, context);
--- a/tests/libpolicy/admission_test.cpp
+++ b/tests/libpolicy/admission_test.cpp
@@ -431,4 +431,18 @@
     BOOST_TEST(admission::load_of(gate.m_state, "e").m_concurrency == 4U);
 }
 
+// Guards against a warm upstream without a start rate that is used slot by slot.
+BOOST_AUTO_TEST_CASE(by_announcement_a_warm_upstream_is_used_up_to_its_slots)
+{
+    const instant now{1h};
+    admission_state state;
+    state.m_limit_basis = limit_basis::announcement;
+    admission::set_upstream(state, "e", 11, warm_up_state::cold, admission::announced_run::new_run,
+                            now);
+    BOOST_TEST(admission::load_of(state, "e").m_concurrency == 1U);
+    admission::set_upstream(state, "e", 11, warm_up_state::warm,
+                            admission::announced_run::known_run, now + 3s);
+    BOOST_TEST(admission::load_of(state, "e").m_concurrency == 11U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -156,7 +156,6 @@
 
 BOOST_AUTO_TEST_CASE(an_upstream_that_says_that_it_is_leaving_gets_no_more_attempts)
 {
-    m_host_state.m_admission.m_upstreams.at("permits-1").m_limit.m_limit = 1;
     const auto id = next_attempt();
     const auto started = effects_of_type<start_transfer>(send(id, reading()));
     BOOST_TEST_REQUIRE(started.size() == 1U);
