libpolicy: Separate the choice of destinations from its random draw

Cause: an explanation needs all gates that a request may go to, with their probabilities, and must not have a second copy of the decisions. Change: placement::decide draws from what find_choice returns, asking_order lists the choices that follow refusals, routing::choice_probabilities shares the candidates of choose_upstream, and the choice of destinations and the making of a request are files of their own (ingress/destinations, ingress/new_request). With refusals not counted in asking_order, its new test fails.

--- a/libraries/libpolicy/ingress/attempts.cpp
+++ b/libraries/libpolicy/ingress/attempts.cpp
@@ -45,36 +45,6 @@
     return attempt.m_phase == attempt_phase::sent || attempt.m_phase == attempt_phase::cancelling;
 }
 
-std::vector<upstream_id> tried_upstreams(const ingress_request& request)
-{
-    std::vector<upstream_id> tried;
-    for (const auto& attempt : request.m_attempts) {
-        tried.push_back(attempt.m_destination.m_upstream);
-    }
-    return tried;
-}
-
-/// Finds a serving upstream on the only host that may run a suspected request.
-std::optional<destination> find_owner_upstream(const host_state& self,
-                                               const ingress_request& request)
-{
-    const auto& service = request.m_service;
-    const auto name = quarantine::owner_of(self.m_gate.m_quarantine, self.m_membership, service,
-                                           request.m_fingerprint);
-    const auto* const owner = membership::find_member(self.m_membership, name);
-    if (owner == nullptr) {
-        return std::nullopt;
-    }
-    const auto& record = owner->m_record;
-    for (const auto& summary : record.m_upstreams) {
-        if (summary.m_service == service && summary.m_phase == upstream_phase::serving) {
-            const upstream_id upstream{record.m_identity.m_name, summary.m_endpoint};
-            return destination{{upstream, record.m_address, record.m_identity.m_incarnation}};
-        }
-    }
-    return std::nullopt;
-}
-
 std::int64_t clock_reading_for(const host_state& self, const reducer_context& context,
                                const routing::upstream_location& target)
 {
@@ -243,44 +213,13 @@
     request.m_phase = ingress_phase::awaiting_answer;
     earn_retries(self.m_ingress.m_retry_budget, request.m_service,
                  probing::retry_budget_settings_of(self, context));
-    const auto status = quarantine::request_status_of(self.m_gate.m_quarantine,
-                                                      request.m_fingerprint, context.m_now);
-    if (status == quarantine::status::quarantined) {
-        fail_request(self, context, request, {refusal_kind::quarantined});
-        return;
-    }
-    const auto target = find_destination(self, context, request);
-    if (!target) {
-        fail_request(self, context, request,
-                     {probing::has_upstreams(self, context, request) ? refusal_kind::overloaded
-                                                                     : refusal_kind::no_upstream,
-                      request_outcome::not_run, 1s});
+    const auto planned = plan_first_attempt(self, context, request);
+    if (const auto* reason = std::get_if<refusal>(&planned)) {
+        fail_request(self, context, request, *reason);
         return;
     }
     set_hedge_time(self, context, request);
-    send_attempt(self, context, request, *target);
-}
-
-std::optional<destination> find_destination(host_state& self, reducer_context& context,
-                                            const ingress_request& request)
-{
-    switch (quarantine::request_status_of(self.m_gate.m_quarantine, request.m_fingerprint,
-                                          context.m_now)) {
-    case quarantine::status::quarantined:
-        return std::nullopt;
-    case quarantine::status::suspected:
-        return find_owner_upstream(self, request);
-    case quarantine::status::clear:
-        break;
-    }
-    if (probing::is_enabled(context)) {
-        return probing::find_destination(self, context, request);
-    }
-    const auto tried = tried_upstreams(request);
-    const auto chosen =
-        routing::choose_upstream(context, self.m_membership, self.m_health, self.m_configuration,
-                                 {request.m_service, request.m_idempotency, tried});
-    return chosen ? std::optional{destination{*chosen}} : std::nullopt;
+    send_attempt(self, context, request, std::get<destination>(planned));
 }
 
 void send_attempt(host_state& self, reducer_context& context, ingress_request& request,
--- a/libraries/libpolicy/ingress/attempts.h
+++ b/libraries/libpolicy/ingress/attempts.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "libpolicy/ingress/destinations.h"
 #include "libpolicy/ingress/ingress_state.h"
 #include "libpolicy/reducer_context.h"
-#include "libwire/attempt_metadata.h"
-
-#include <optional>
+#include "libpolicy/refusal.h"
 
 namespace chivevane {
 
@@ -15,23 +14,9 @@
 /// Sends the attempts of a request, and decides what follows when an attempt has ended.
 namespace chivevane::ingress {
 
-/// The upstream that an attempt is sent to, and how its gate is to treat the attempt.
-struct destination {
-    routing::upstream_location m_location;
-    connection_reuse m_connection_reuse = connection_reuse::allowed;
-    queueing_permission m_queueing = queueing_permission::allowed;
-    circuit_breaker_mode m_circuit_breaker_mode = circuit_breaker_mode::enforce;
-};
-
 /// Sends the first attempt, or refuses the request if it is quarantined or no upstream takes it.
 void start_first_attempt(host_state& self, reducer_context& context, ingress_request& request);
 
-/// Chooses the destination of the next attempt. A request that is suspected of crashing upstreams
-/// goes only to the host that owns its fingerprint; others follow the placement mode. Empty if no
-/// upstream may take the request.
-std::optional<destination> find_destination(host_state& self, reducer_context& context,
-                                            const ingress_request& request);
-
 void send_attempt(host_state& self, reducer_context& context, ingress_request& request,
                   const destination& target);
 
--- a/libraries/libpolicy/ingress/caller_request.cpp
+++ b/libraries/libpolicy/ingress/caller_request.cpp
@@ -93,19 +93,19 @@
     return authorisation;
 }
 
-} // namespace
-
+/// Authorises a request whose head is well-formed.
 std::variant<request_authorisation, refusal_kind>
-authorise_request(const configuration_state& configuration, const request_head& head)
+authorise_caller(const configuration_state& configuration, const request_head& head,
+                 const caller_credential& credential)
 {
-    if (!is_well_formed(head)) {
-        return refusal_kind::malformed_request;
+    if (const auto* known = std::get_if<key_owner>(&credential)) {
+        return authorise_key_owner(configuration, head, *known);
     }
-    const auto key = key_of(head);
-    if (!key) {
+    const auto* const digest = std::get_if<key_digest>(&credential);
+    if (digest == nullptr) {
         return authorise_without_key(configuration, head);
     }
-    const auto* const owner = configuration::find_key_owner(configuration, sha256_hex(*key));
+    const auto* const owner = configuration::find_key_owner(configuration, digest->m_hex);
     if (owner != nullptr) {
         return authorise_key_owner(configuration, head, *owner);
     }
@@ -117,6 +117,30 @@
     return without_key;
 }
 
+} // namespace
+
+std::variant<request_authorisation, refusal_kind>
+authorise_request(const configuration_state& configuration, const request_head& head,
+                  const caller_credential& credential)
+{
+    if (!is_well_formed(head)) {
+        return refusal_kind::malformed_request;
+    }
+    return authorise_caller(configuration, head, credential);
+}
+
+std::variant<request_authorisation, refusal_kind>
+authorise_request(const configuration_state& configuration, const request_head& head)
+{
+    if (!is_well_formed(head)) {
+        return refusal_kind::malformed_request;
+    }
+    const auto key = key_of(head);
+    return authorise_caller(configuration, head,
+                            key ? caller_credential{key_digest{sha256_hex(*key)}}
+                                : caller_credential{});
+}
+
 duration timeout_of(const request_head& head, const route& matched)
 {
     const auto field = find_field(head.m_fields, "X-Request-Timeout-Ms").value_or("");
--- a/libraries/libpolicy/ingress/caller_request.h
+++ b/libraries/libpolicy/ingress/caller_request.h
@@ -24,6 +24,21 @@
                                   ///< the route; 0 is the most urgent.
 };
 
+/// The SHA-256 digest of the key that a caller sent, in hexadecimal.
+struct key_digest {
+    std::string m_hex;
+};
+
+/// How a caller proves its organisation: not at all, by a key, or as an organisation that is known
+/// already.
+using caller_credential = std::variant<std::monostate, key_digest, key_owner>;
+
+/// Validates the request head, identifies the caller by `credential` in place of the key fields of
+/// the head, and finds the route that it may use. Returns the reason for the refusal otherwise.
+std::variant<request_authorisation, refusal_kind>
+authorise_request(const configuration_state& configuration, const request_head& head,
+                  const caller_credential& credential);
+
 /// Validates the request head, authenticates the key, and finds the route that the key may use.
 /// Returns the reason for the refusal otherwise.
 std::variant<request_authorisation, refusal_kind>
--- a/libraries/libpolicy/ingress/ingress.cpp
+++ b/libraries/libpolicy/ingress/ingress.cpp
@@ -1,106 +1,24 @@
 #include "libpolicy/ingress/ingress.h"
 
 #include "libbase/digest.h"
-#include "libpolicy/configuration/configuration.h"
-#include "libpolicy/forwarding.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/answers.h"
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/caller_request.h"
 #include "libpolicy/ingress/execution_inquiries.h"
-#include "libpolicy/ingress/is_idempotent.h"
+#include "libpolicy/ingress/new_request.h"
 #include "libpolicy/ingress/request_log.h"
-#include "libpolicy/ingress/request_priority.h"
 #include "libpolicy/limits/limits.h"
 #include "libpolicy/refusal.h"
 #include "libwire/attempt_metadata.h"
 
 #include <algorithm>
 #include <cassert>
-#include <fmt/format.h>
 
 namespace chivevane::ingress {
 
 namespace {
 
-constexpr std::string_view caller_service_field = "X-Caller-Service";
-
-std::uint64_t fingerprint_of(const ingress_request& request)
-{
-    return stable_hash(fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation,
-                                   request.m_route->m_name, request.m_head.m_method,
-                                   request.m_head.m_target, request.m_body_hash));
-}
-
-/// Chooses the service that gets a request of the route `matched`, at random in proportion to the
-/// weights of its targets.
-std::string choose_service(const route& matched, random_engine& engine)
-{
-    if (matched.m_targets.empty()) {
-        return matched.m_service;
-    }
-    double total_weight = 0;
-    for (const auto& target : matched.m_targets) {
-        total_weight += target.m_weight;
-    }
-    auto position = uniform_fraction(engine) * total_weight;
-    for (const auto& target : matched.m_targets) {
-        position -= target.m_weight;
-        if (position < 0) {
-            return target.m_service;
-        }
-    }
-    return matched.m_targets.back().m_service;
-}
-
-routing::idempotency idempotency_of(const route& matched, std::string_view method)
-{
-    const bool is_idempotent_request = matched.m_idempotence == route_idempotence::by_method
-                                           ? is_idempotent(method)
-                                           : matched.m_idempotence == route_idempotence::idempotent;
-    return is_idempotent_request ? routing::idempotency::idempotent
-                                 : routing::idempotency::not_idempotent;
-}
-
-/// Tells upstreams which service the request comes from, and overwrites what the caller claims.
-void set_caller_service(request_head& head, const std::string& service)
-{
-    if (service.empty()) {
-        return;
-    }
-    std::erase_if(head.m_fields, [](const http_field& field) {
-        return equal_ignoring_case(field.m_name, caller_service_field);
-    });
-    head.m_fields.push_back({std::string{caller_service_field}, service});
-}
-
-ingress_request make_request(const inbound_request& inbound,
-                             const request_authorisation& authorisation, reducer_context& context)
-{
-    const auto now = context.m_now;
-    ingress_request request;
-    request.m_exchange = inbound.m_exchange;
-    request.m_head = forwardable_request(inbound.m_head);
-    set_caller_service(request.m_head, context.m_settings.m_service);
-    request.m_body_hash = inbound.m_body_hash;
-    request.m_document = authorisation.m_document;
-    request.m_route = authorisation.m_route;
-    request.m_revision = authorisation.m_revision;
-    request.m_organisation = authorisation.m_organisation;
-    request.m_limit = authorisation.m_limit;
-    request.m_service = choose_service(*authorisation.m_route, context.m_random);
-    request.m_priority =
-        context.m_settings.m_placement == placement_mode::probing
-            ? request_priority({authorisation.m_priority, authorisation.m_organisation,
-                                context.m_settings.m_self.m_name, now})
-            : authorisation.m_priority;
-    request.m_idempotency = idempotency_of(*authorisation.m_route, inbound.m_head.m_method);
-    request.m_arrived_at = now;
-    request.m_deadline = now + timeout_of(inbound.m_head, *authorisation.m_route);
-    request.m_fingerprint = fingerprint_of(request);
-    return request;
-}
-
 ingress_request& add_request(ingress_state& state, ingress_request request)
 {
     request.m_number = ++state.m_last_request_number;
@@ -124,19 +42,6 @@
     }
 }
 
-std::optional<refusal> reason_not_to_serve(const host_state& self, const reducer_context& context)
-{
-    if (self.m_ingress.m_is_leaving) {
-        return refusal{refusal_kind::leaving};
-    }
-    if (!configuration::may_serve(self.m_configuration,
-                                  context.m_settings.m_unconfirmed_documents_policy,
-                                  context.m_now)) {
-        return refusal{refusal_kind::not_ready, request_outcome::not_run, 1s};
-    }
-    return std::nullopt;
-}
-
 attempt_reference find_by_transfer(ingress_state& state, transfer_id transfer)
 {
     auto& request = state.m_requests.at(state.m_by_transfer.at(transfer));
@@ -192,7 +97,7 @@
 
 void on_request(host_state& self, reducer_context& context, const inbound_request& inbound)
 {
-    if (const auto reason = reason_not_to_serve(self, context)) {
+    if (const auto reason = reason_not_to_serve(self, context.m_now)) {
         emit(context, make_refusal(inbound.m_exchange, *reason));
         return;
     }
@@ -204,14 +109,14 @@
     auto& request =
         add_request(self.m_ingress,
                     make_request(inbound, std::get<request_authorisation>(authorised), context));
-    if (request.m_organisation.empty() || request.m_limit.m_rate == unlimited_rate) {
+    if (!needs_token(request)) {
         start_first_attempt(self, context, request);
         return;
     }
-    const auto organisation = request.m_document->m_name + "/" + request.m_organisation;
     apply_token_decision(self, context, request,
-                         limits::take_token(self.m_limits, context, self.m_membership, organisation,
-                                            request.m_limit, request.m_exchange));
+                         limits::take_token(self.m_limits, context, self.m_membership,
+                                            organisation_key(request), request.m_limit,
+                                            request.m_exchange));
 }
 
 void on_caller_disconnected(host_state& self, reducer_context& context, exchange_id exchange)
--- a/libraries/libpolicy/ingress/probing.cpp
+++ b/libraries/libpolicy/ingress/probing.cpp
@@ -92,14 +92,20 @@
     return {limits.m_share, reserve, reserve};
 }
 
-std::optional<destination> find_destination(host_state& self, reducer_context& context,
-                                            const ingress_request& request)
+placement_query make_query(const host_state& self, const reducer_context& context,
+                           const ingress_request& request)
 {
-    const auto options = make_options(self, context, request);
     const auto refusals = request.m_attempts.size() - count_upstreams_reached(request);
-    const auto decided = placement::decide(
-        options, {refusals, request.m_priority, has_large_answers(self, request), context.m_now},
-        context.m_random);
+    return {make_options(self, context, request),
+            {refusals, request.m_priority, has_large_answers(self, request), context.m_now}};
+}
+
+std::optional<destination> find_destination(const host_state& self, reducer_context& context,
+                                            const ingress_request& request)
+{
+    const auto query = make_query(self, context, request);
+    const auto& options = query.m_options;
+    const auto decided = placement::decide(options, query.m_input, context.m_random);
     if (!decided) {
         return std::nullopt;
     }
--- a/libraries/libpolicy/ingress/probing.h
+++ b/libraries/libpolicy/ingress/probing.h
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "libpolicy/ingress/attempts.h"
+#include "libpolicy/ingress/destinations.h"
 #include "libpolicy/ingress/ingress_state.h"
 #include "libpolicy/ingress/retry_budget.h"
+#include "libpolicy/placement/placement.h"
 #include "libpolicy/reducer_context.h"
 #include "libpolicy/refusal.h"
 
 #include <optional>
+#include <vector>
 
 namespace chivevane {
 
@@ -34,8 +36,18 @@
 retry_budget_settings retry_budget_settings_of(const host_state& self,
                                                const reducer_context& context);
 
+/// The upstreams of the service of a request, and what the choice among them depends on.
+struct placement_query {
+    std::vector<placement::option> m_options;
+    placement::decision_input m_input;
+};
+
+/// Describes the choice of the destination of the next attempt.
+placement_query make_query(const host_state& self, const reducer_context& context,
+                           const ingress_request& request);
+
 /// Chooses the destination of the next attempt; empty if no upstream may take it.
-std::optional<destination> find_destination(host_state& self, reducer_context& context,
+std::optional<destination> find_destination(const host_state& self, reducer_context& context,
                                             const ingress_request& request);
 
 /// Spends the retry budget for one more attempt if it needs any. A refusal by a gate puts no load
--- a/libraries/libpolicy/limits/metering.cpp
+++ b/libraries/libpolicy/limits/metering.cpp
@@ -105,14 +105,6 @@
     return candidates;
 }
 
-/// The host that meters `organisation`. All hosts with the same view of the members choose the
-/// same. Empty while none can be chosen.
-std::string meter_of(const metering_state& state, const reducer_context& context,
-                     const membership_state& members, std::string_view organisation)
-{
-    return std::string{rendezvous_owner(organisation, possible_meters(state, context, members))};
-}
-
 /// The number of hosts that may decide locally: those that are known or registered.
 double count_hosts(const membership_state& members)
 {
@@ -303,6 +295,12 @@
 
 } // namespace
 
+std::string meter_of(const metering_state& state, const reducer_context& context,
+                     const membership_state& members, std::string_view organisation)
+{
+    return std::string{rendezvous_owner(organisation, possible_meters(state, context, members))};
+}
+
 decision take_metered_token(metering_state& state, reducer_context& context,
                             const membership_state& members, std::string_view organisation,
                             const rate_limit& limit, std::uint64_t request_id)
--- a/libraries/libpolicy/limits/metering.h
+++ b/libraries/libpolicy/limits/metering.h
@@ -6,6 +6,7 @@
 #include "libpolicy/reducer_context.h"
 #include "libwire/token_messages.h"
 
+#include <string>
 #include <string_view>
 
 /// Distributed rate limiting with one host, the meter, holding the whole token bucket of an
@@ -17,6 +18,11 @@
 /// even fraction of the limit. It uses another meter while the old one is considered silent.
 namespace chivevane::limits {
 
+/// The host that meters `organisation`. All hosts with the same view of the members choose the
+/// same. Empty while none can be chosen.
+std::string meter_of(const metering_state& state, const reducer_context& context,
+                     const membership_state& members, std::string_view organisation);
+
 /// Takes one token of `organisation` (document/organisation). If the result is `waiting`, a later
 /// `deferred_decision` refers to the request by `request_id`.
 decision take_metered_token(metering_state& state, reducer_context& context,
--- a/libraries/libpolicy/placement/placement.cpp
+++ b/libraries/libpolicy/placement/placement.cpp
@@ -136,26 +136,24 @@
     return each.m_record.m_load + (each.m_is_in_own_datacentre ? 0 : other_datacentre_load_penalty);
 }
 
-/// Picks one of the options of the group with the least load, of those whose load is known, or any
+/// Returns the options of the group with the least load, of those whose load is known, or the group
 /// if none is. Among equal ones the choice is random: a fixed order would send the attempts of all
 /// ingresses to the same gate.
-std::size_t pick_least_loaded(std::span<const option> options,
-                              const std::vector<std::size_t>& group, instant now,
-                              random_engine& engine)
+std::vector<std::size_t> least_loaded(std::span<const option> options,
+                                      const std::vector<std::size_t>& group, instant now)
 {
     const auto known = filter_options(
         options, group, [now](const option& each) { return is_load_known(each, now); });
     if (known.empty()) {
-        return pick_weighted(options, group, engine);
+        return group;
     }
     const auto least = *std::min_element(
         known.begin(), known.end(), [&options](std::size_t left, std::size_t right) {
             return comparable_load(options[left]) < comparable_load(options[right]);
         });
-    const auto equal = filter_options(options, known, [&](const option& each) {
+    return filter_options(options, known, [&](const option& each) {
         return comparable_load(each) <= comparable_load(options[least]);
     });
-    return pick_weighted(options, equal, engine);
 }
 
 /// The options that a decision chooses among, as indices.
@@ -179,10 +177,9 @@
         filter_options(options, candidates, [&](const option& each) { return !is_closed(each); })};
 }
 
-/// Chooses an option of the group that may start the attempt at once and was not tried yet.
-std::optional<decision> try_idle(std::span<const option> options,
-                                 const std::vector<std::size_t>& group, const decision_input& input,
-                                 random_engine& engine)
+/// Finds the options of the group that may start the attempt at once and were not tried yet.
+std::optional<choice> try_idle(std::span<const option> options,
+                               const std::vector<std::size_t>& group, const decision_input& input)
 {
     const auto untried = filter_options(options, group, [&input](const option& each) {
         return !each.m_was_tried && !is_busy(each, input.m_now);
@@ -190,14 +187,12 @@
     if (untried.empty()) {
         return std::nullopt;
     }
-    const auto preferred = prefer_healthy(options, untried, input.m_now);
-    return decision{pick_weighted(options, preferred, engine), queueing_permission::forbidden};
+    return choice{prefer_healthy(options, untried, input.m_now), queueing_permission::forbidden};
 }
 
-/// Chooses the option of the group with the shortest queue that may still queue the attempt.
-std::optional<decision> try_queue(std::span<const option> options,
-                                  const std::vector<std::size_t>& group,
-                                  const decision_input& input, random_engine& engine)
+/// Finds the options of the group with the shortest queue that may still queue the attempt.
+std::optional<choice> try_queue(std::span<const option> options,
+                                const std::vector<std::size_t>& group, const decision_input& input)
 {
     const auto queue_refusals = std::count_if(group.begin(), group.end(), [&](auto index) {
         return options[index].m_was_offered_queueing;
@@ -212,8 +207,7 @@
         return std::nullopt;
     }
     const auto preferred = prefer_healthy(options, with_room, input.m_now);
-    return decision{pick_least_loaded(options, preferred, input.m_now, engine),
-                    queueing_permission::allowed};
+    return choice{least_loaded(options, preferred, input.m_now), queueing_permission::allowed};
 }
 
 /// Returns the options of the group that reported a free slot a moment ago. Gates keep the last
@@ -226,40 +220,70 @@
     });
 }
 
+/// How many gates refused, by how they were asked.
+struct refusal_counts {
+    std::ptrdiff_t m_idle_own = 0;
+    std::ptrdiff_t m_idle_other = 0;
+    std::ptrdiff_t m_queue = 0;
+};
+
+/// Returns the number of refusals of one request, which is asked at some gates of each kind only.
+std::size_t total_of(const refusal_counts& counts)
+{
+    return static_cast<std::size_t>(std::min(counts.m_idle_own, own_datacentre_tries) +
+                                    std::min(counts.m_idle_other, other_datacentre_tries) +
+                                    std::min(counts.m_queue, max_queue_refusals));
+}
+
+/// Marks an option of `step` as refused by its gate.
+void refuse(option& each, const choice& step, refusal_counts& counts)
+{
+    each.m_was_tried = true;
+    if (step.m_circuit_breaker_mode == circuit_breaker_mode::bypass) {
+        each.m_was_offered_bypass = true;
+    }
+    else if (step.m_queueing == queueing_permission::allowed) {
+        each.m_was_offered_queueing = true;
+        ++counts.m_queue;
+    }
+    else {
+        ++(each.m_is_in_own_datacentre ? counts.m_idle_own : counts.m_idle_other);
+    }
+}
+
 } // namespace
 
-std::optional<decision> decide(std::span<const option> options, const decision_input& input,
-                               random_engine& engine)
+std::optional<choice> find_choice(std::span<const option> options, const decision_input& input)
 {
     const auto groups = group_options(options, input.m_now);
     const auto own_tries = count_tried(options, true);
     const auto other_tries = count_tried(options, false);
     const bool may_try_idle = input.m_refusals < refusals_before_queueing;
     if (may_try_idle && own_tries < own_datacentre_tries) {
-        if (const auto chosen = try_idle(options, groups.m_own, input, engine)) {
+        if (auto chosen = try_idle(options, groups.m_own, input)) {
             return chosen;
         }
     }
     const auto free_in_own = with_free_slot(options, groups.m_own, input.m_now);
-    if (const auto chosen = try_queue(options, free_in_own, input, engine)) {
+    if (auto chosen = try_queue(options, free_in_own, input)) {
         return chosen;
     }
     const bool stays_in_own_datacentre = input.m_is_large && !groups.m_own.empty();
     if (may_try_idle && !stays_in_own_datacentre && other_tries < other_datacentre_tries) {
-        if (const auto chosen = try_idle(options, groups.m_other, input, engine)) {
+        if (auto chosen = try_idle(options, groups.m_other, input)) {
             return chosen;
         }
     }
     auto queues = groups.m_other;
     if (stays_in_own_datacentre) {
-        if (const auto chosen = try_queue(options, groups.m_own, input, engine)) {
+        if (auto chosen = try_queue(options, groups.m_own, input)) {
             return chosen;
         }
     }
     else {
         queues.insert(queues.end(), groups.m_own.begin(), groups.m_own.end());
     }
-    if (const auto chosen = try_queue(options, queues, input, engine)) {
+    if (auto chosen = try_queue(options, queues, input)) {
         return chosen;
     }
     const auto failing = filter_options(
@@ -267,8 +291,34 @@
     if (failing.empty()) {
         return std::nullopt;
     }
-    return decision{pick_weighted(options, failing, engine), queueing_permission::forbidden,
-                    circuit_breaker_mode::bypass};
+    return choice{failing, queueing_permission::forbidden, circuit_breaker_mode::bypass};
+}
+
+std::optional<decision> decide(std::span<const option> options, const decision_input& input,
+                               random_engine& engine)
+{
+    const auto found = find_choice(options, input);
+    if (!found) {
+        return std::nullopt;
+    }
+    return decision{pick_weighted(options, found->m_options, engine), found->m_queueing,
+                    found->m_circuit_breaker_mode};
+}
+
+std::vector<choice> asking_order(std::span<const option> options, decision_input input)
+{
+    std::vector<option> asked{options.begin(), options.end()};
+    const auto refusals_before = input.m_refusals;
+    refusal_counts counts;
+    std::vector<choice> steps;
+    for (auto step = find_choice(asked, input); step; step = find_choice(asked, input)) {
+        for (const auto index : step->m_options) {
+            refuse(asked[index], *step, counts);
+        }
+        input.m_refusals = refusals_before + total_of(counts);
+        steps.push_back(std::move(*step));
+    }
+    return steps;
 }
 
 } // namespace chivevane::placement
--- a/libraries/libpolicy/placement/placement.h
+++ b/libraries/libpolicy/placement/placement.h
@@ -59,6 +59,21 @@
     circuit_breaker_mode m_circuit_breaker_mode = circuit_breaker_mode::enforce;
 };
 
+/// The options that a decision picks from at random, and the instructions to the gate.
+struct choice {
+    std::vector<std::size_t> m_options; ///< Indices; each is picked in proportion to its slots.
+    queueing_permission m_queueing = queueing_permission::forbidden;
+    circuit_breaker_mode m_circuit_breaker_mode = circuit_breaker_mode::enforce;
+};
+
+/// Finds the options that the next attempt may go to. Returns nothing if none may take it.
+std::optional<choice> find_choice(std::span<const option> options, const decision_input& input);
+
+/// Returns the choices of one attempt after another if each gate that is asked refuses without a
+/// report of its load. The gates of one choice are taken as asked together, although only a few of
+/// a large group would be; the rest of it may be asked once the attempt may queue.
+std::vector<choice> asking_order(std::span<const option> options, decision_input input);
+
 /// Chooses among `options`. Returns nothing if none may take the attempt.
 std::optional<decision> decide(std::span<const option> options, const decision_input& input,
                                random_engine& engine);
--- a/libraries/libpolicy/routing/routing.cpp
+++ b/libraries/libpolicy/routing/routing.cpp
@@ -135,6 +135,31 @@
            static_cast<double>(std::max(1U, each.m_summary->m_concurrency));
 }
 
+bool is_less_loaded(const candidate& left, const candidate& right)
+{
+    return relative_queue_length(left) < relative_queue_length(right);
+}
+
+/// Returns the candidates that the attempt may go to, with their weights.
+std::vector<candidate> choosable_candidates(const reducer_context& context,
+                                            const membership_state& members,
+                                            const health_state& health,
+                                            const configuration_state& configuration,
+                                            const upstream_query& query)
+{
+    auto candidates = find_candidates(context, members, {configuration, query.m_service});
+    assign_weights(candidates, health, health::capacity_floor_of(configuration, query.m_service),
+                   query.m_idempotency, context.m_now);
+    std::erase_if(candidates, [](const candidate& each) { return each.m_weight <= 0; });
+    const auto first_tried = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [&query](const candidate& each) { return !was_tried(query, each.m_location.m_upstream); });
+    if (first_tried != candidates.begin()) {
+        candidates.erase(first_tried, candidates.end());
+    }
+    return candidates;
+}
+
 } // namespace
 
 std::vector<serving_upstream> find_upstreams(const reducer_context& context,
@@ -156,24 +181,40 @@
                                                  const configuration_state& configuration,
                                                  const upstream_query& query)
 {
-    auto candidates = find_candidates(context, members, {configuration, query.m_service});
-    assign_weights(candidates, health, health::capacity_floor_of(configuration, query.m_service),
-                   query.m_idempotency, context.m_now);
-    std::erase_if(candidates, [](const candidate& each) { return each.m_weight <= 0; });
-    const auto first_tried = std::stable_partition(
-        candidates.begin(), candidates.end(),
-        [&query](const candidate& each) { return !was_tried(query, each.m_location.m_upstream); });
-    if (first_tried != candidates.begin()) {
-        candidates.erase(first_tried, candidates.end());
-    }
+    const auto candidates = choosable_candidates(context, members, health, configuration, query);
     if (candidates.empty()) {
         return std::nullopt;
     }
     const auto& first = pick_weighted(context.m_random, candidates);
     const auto& second = pick_weighted(context.m_random, candidates);
     const bool may_compare = uniform_fraction(context.m_random) < load_comparison_probability;
-    const bool is_less_loaded = relative_queue_length(second) < relative_queue_length(first);
-    return may_compare && is_less_loaded ? second.m_location : first.m_location;
+    return may_compare && is_less_loaded(second, first) ? second.m_location : first.m_location;
+}
+
+std::vector<choice_probability> choice_probabilities(const reducer_context& context,
+                                                     const membership_state& members,
+                                                     const health_state& health,
+                                                     const configuration_state& configuration,
+                                                     const upstream_query& query)
+{
+    const auto candidates = choosable_candidates(context, members, health, configuration, query);
+    double total = 0;
+    for (const auto& each : candidates) {
+        total += each.m_weight;
+    }
+    std::vector<choice_probability> choices;
+    for (const auto& each : candidates) {
+        // The chance that the comparison with another pick is won, less the chance that it is lost.
+        double balance = 0;
+        for (const auto& other : candidates) {
+            const auto share = other.m_weight / total;
+            balance += is_less_loaded(each, other) ? share : 0;
+            balance -= is_less_loaded(other, each) ? share : 0;
+        }
+        choices.push_back({each.m_location.m_upstream,
+                           each.m_weight / total * (1 + load_comparison_probability * balance)});
+    }
+    return choices;
 }
 
 } // namespace chivevane::routing
--- a/libraries/libpolicy/routing/routing.h
+++ b/libraries/libpolicy/routing/routing.h
@@ -53,4 +53,17 @@
                                                  const configuration_state& configuration,
                                                  const upstream_query& query);
 
+/// An upstream that `choose_upstream` may choose, with the probability of it.
+struct choice_probability {
+    upstream_id m_upstream;
+    double m_probability = 0;
+};
+
+/// Returns the upstreams that `choose_upstream` may choose, with their probabilities.
+std::vector<choice_probability> choice_probabilities(const reducer_context& context,
+                                                     const membership_state& members,
+                                                     const health_state& health,
+                                                     const configuration_state& configuration,
+                                                     const upstream_query& query);
+
 } // namespace chivevane::routing
--- a/tests/libpolicy/placement_test.cpp
+++ b/tests/libpolicy/placement_test.cpp
@@ -202,4 +202,44 @@
     BOOST_TEST(placement::find_record(records, upstream).m_full_priority == 2U);
 }
 
+/// Guards against an explained order that has options which no request reaches, or lacks some that
+/// one does. Each simulated request is refused by every gate, without a report of its load.
+BOOST_AUTO_TEST_CASE(the_asking_order_holds_the_options_that_refused_requests_reach)
+{
+    for (int state = 0; state < 200; ++state) {
+        for (auto& each : m_options) {
+            each.m_record = {};
+            each.m_record.m_busy_until = m_now + (m_random(4) == 0 ? 1ms : -1ms);
+            each.m_record.m_full_until = m_now + (m_random(4) == 0 ? 1ms : -1ms);
+            each.m_record.m_circuit_open_until = m_now + (m_random(8) == 0 ? 1ms : -1ms);
+            if (m_random(3) == 0) {
+                each.m_record.m_load = m_random(6) / 4.0;
+                each.m_record.m_load_updated_at = m_now;
+            }
+        }
+        indices explained;
+        for (const auto& step :
+             placement::asking_order(m_options, {0, m_priority, m_is_large, m_now})) {
+            explained.insert(step.m_options.begin(), step.m_options.end());
+        }
+        indices reached;
+        for (int request = 0; request < 100; ++request) {
+            auto asked = m_options;
+            placement::decision_input input{0, m_priority, m_is_large, m_now};
+            while (const auto chosen = placement::decide(asked, input, m_random)) {
+                auto& each = asked[chosen->m_option];
+                reached.insert(chosen->m_option);
+                each.m_was_tried = true;
+                each.m_was_offered_queueing = each.m_was_offered_queueing ||
+                                              chosen->m_queueing == queueing_permission::allowed;
+                each.m_was_offered_bypass =
+                    each.m_was_offered_bypass ||
+                    chosen->m_circuit_breaker_mode == circuit_breaker_mode::bypass;
+                ++input.m_refusals;
+            }
+        }
+        BOOST_TEST(explained == reached, boost::test_tools::per_element());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
