libadmin: Answer GET /v1/explain

Cause: explanations were not reachable from outside a host. Change: the resource takes method, host, path, organisation or key digest, and the time left, and needs the operator token; an unknown organisation is the new problem no-organisation.

--- a/libraries/libadmin/admin_command.h
+++ b/libraries/libadmin/admin_command.h
@@ -79,14 +79,26 @@
     bool operator==(const read_timeline&) const = default;
 };
 
+/// The command of `GET /v1/explain`.
+struct read_explanation {
+    std::string m_method = "GET";
+    std::string m_host;         ///< The Host field of the request; may be empty.
+    std::string m_target;       ///< The path of the request, which may be followed by a query.
+    std::string m_organisation; ///< NAME or DOCUMENT/NAME; may be empty.
+    std::string m_key_digest;   ///< SHA-256 in hexadecimal; empty if the request has no key.
+    std::optional<std::int64_t> m_timeout_ms;
+    bool operator==(const read_explanation&) const = default;
+};
+
 /// The command of `GET /metrics`.
 struct read_metrics {
     bool operator==(const read_metrics&) const = default;
 };
 
 /// A parsed request to the administration API.
-using admin_command = std::variant<list_documents, read_document, write_document, check_document,
-                                   read_rollout, list_hosts, declare_host_dead, list_upstreams,
-                                   list_organisations, read_timeline, read_metrics>;
+using admin_command =
+    std::variant<list_documents, read_document, write_document, check_document, read_rollout,
+                 list_hosts, declare_host_dead, list_upstreams, list_organisations, read_timeline,
+                 read_explanation, read_metrics>;
 
 } // namespace chivevane
--- a/libraries/libadmin/admin_problem.h
+++ b/libraries/libadmin/admin_problem.h
@@ -18,6 +18,7 @@
     token_refused,       ///< The HTTP status is 401.
     no_resource,         ///< The HTTP status is 404.
     no_document,         ///< The HTTP status is 404.
+    no_organisation,     ///< The HTTP status is 404.
     method_not_allowed,  ///< The HTTP status is 405.
     revision_conflict,   ///< The HTTP status is 412.
     invalid_document,    ///< The HTTP status is 422.
--- a/libraries/libadmin/answer_admin_request.cpp
+++ b/libraries/libadmin/answer_admin_request.cpp
@@ -1,12 +1,14 @@
 #include "libadmin/answer_admin_request.h"
 
 #include "libadmin/admin_problem.h"
+#include "libadmin/explanation_json.h"
 #include "libadmin/metrics_text.h"
 #include "libadmin/parse_admin_request.h"
 #include "libadmin/resource_json.h"
 #include "libbase/digest.h"
 #include "libbase/result.h"
 #include "libdocument/parse_document.h"
+#include "libpolicy/explain/explain_request.h"
 
 #include <fmt/format.h>
 
@@ -162,6 +164,18 @@
     return respond_with_json(request, timeline_json(view, command));
 }
 
+admin_decision answer(const admin_view& view, const admin_request& request,
+                      const read_explanation& command)
+{
+    const auto query = make_explanation_query(view, command);
+    if (const auto* const problem = std::get_if<admin_problem>(&query)) {
+        return respond_with_problem(request, *problem);
+    }
+    const auto explanation =
+        explain_request(view.m_host_state, view.m_now, std::get<explanation_query>(query));
+    return respond_with_json(request, explanation_json(explanation));
+}
+
 admin_decision answer(const admin_view& view, const admin_request& request, const read_metrics&)
 {
     return respond{request.m_exchange,
--- a/libraries/libadmin/parse_admin_request.cpp
+++ b/libraries/libadmin/parse_admin_request.cpp
@@ -2,6 +2,7 @@
 
 #include "libdocument/yaml_reader.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 #include <vector>
@@ -111,6 +112,100 @@
     return admin_command{std::move(command)};
 }
 
+std::optional<char> parse_hex_byte(std::string_view digits)
+{
+    unsigned value = 0;
+    const auto* const end = digits.data() + digits.size();
+    const auto [parsed_end, error_code] = std::from_chars(digits.data(), end, value, 16);
+    if (digits.size() != 2 || error_code != std::errc{} || parsed_end != end) {
+        return std::nullopt;
+    }
+    return static_cast<char>(value);
+}
+
+/// Decodes percent-encoded bytes (RFC 3986 section 2.1). Returns nothing if one is malformed.
+std::optional<std::string> decode_percent(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        if (text[at] != '%') {
+            decoded += text[at];
+            continue;
+        }
+        const auto byte = parse_hex_byte(text.substr(at + 1, 2));
+        if (!byte) {
+            return std::nullopt;
+        }
+        decoded += *byte;
+        at += 2;
+    }
+    return decoded;
+}
+
+bool is_digest(std::string_view text)
+{
+    constexpr std::size_t digest_length = 64; // Hexadecimal digits of SHA-256.
+    return text.size() == digest_length && std::all_of(text.begin(), text.end(), [](char digit) {
+               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
+           });
+}
+
+/// Whether `text` is NAME or DOCUMENT/NAME.
+bool is_organisation(std::string_view text)
+{
+    const auto parts = split(text, '/');
+    return parts.size() <= 2 && std::all_of(parts.begin(), parts.end(), is_name);
+}
+
+/// Stores one parameter of `GET /v1/explain`. Returns whether its name and its value are valid.
+bool read_parameter(read_explanation& command, std::string_view name, const std::string& value)
+{
+    constexpr std::int64_t max_timeout_ms = 3'600'000; // As for X-Request-Timeout-Ms.
+    if (value.empty()) {
+        return false;
+    }
+    if (name == "method") {
+        command.m_method = value;
+        return true;
+    }
+    if (name == "host") {
+        command.m_host = value;
+        return true;
+    }
+    if (name == "path") {
+        command.m_target = value;
+        return value.front() == '/';
+    }
+    if (name == "organisation") {
+        command.m_organisation = value;
+        return command.m_key_digest.empty() && is_organisation(value);
+    }
+    if (name == "key_digest") {
+        command.m_key_digest = value;
+        return command.m_organisation.empty() && is_digest(value);
+    }
+    if (name == "timeout_ms") {
+        command.m_timeout_ms = parse_integer<std::int64_t>(value);
+        return command.m_timeout_ms.value_or(0) >= 1 && *command.m_timeout_ms <= max_timeout_ms;
+    }
+    return false;
+}
+
+parsed_request parse_explanation(std::string_view query)
+{
+    read_explanation command;
+    for (const auto& parameter : parse_query(query)) {
+        const auto value = decode_percent(parameter.m_value);
+        if (!value || !read_parameter(command, parameter.m_name, *value)) {
+            return invalid_parameter(parameter);
+        }
+    }
+    if (command.m_target.empty()) {
+        return admin_problem{admin_problem_kind::malformed_query, "The parameter path is missing."};
+    }
+    return admin_command{std::move(command)};
+}
+
 /// Parses an entity tag that holds a revision (RFC 9110 section 8.8.3). Weak tags are rejected.
 std::optional<std::uint64_t> parse_revision_tag(std::string_view tag)
 {
@@ -231,6 +326,9 @@
     if (path == "v1/organisations") {
         return head.m_method == "GET" ? parse_organisations(query) : not_allowed("GET");
     }
+    if (path == "v1/explain") {
+        return head.m_method == "GET" ? parse_explanation(query) : not_allowed("GET");
+    }
     if (path == "v1/timeline") {
         return head.m_method == "GET" ? parse_timeline(query) : not_allowed("GET");
     }
--- a/libraries/libadmin/resource_json.cpp
+++ b/libraries/libadmin/resource_json.cpp
@@ -25,21 +25,6 @@
     return "invalid";
 }
 
-std::string_view name_of(health::health_status status)
-{
-    switch (status) {
-    case health::health_status::healthy:
-        return "healthy";
-    case health::health_status::trial:
-        return "trial";
-    case health::health_status::ramping:
-        return "ramping";
-    case health::health_status::ejected:
-        return "ejected";
-    }
-    return "invalid";
-}
-
 /// Returns the revision that each host has in force, by host name. The revision is null where this
 /// host does not know it.
 json_value revisions_by_host(const admin_view& view, std::string_view name)
@@ -87,7 +72,7 @@
             {"host_status", name_of(peer.m_status)},
             {"phase", upstream.m_phase == upstream_phase::serving ? "serving" : "draining"},
             {"warmth", upstream.m_warm_up_state == warm_up_state::warm ? "warm" : "cold"},
-            {"standing", name_of(assessment.m_status)},
+            {"standing", standing_name(assessment.m_status)},
             {"share", assessment.m_share},
             {"slots", upstream.m_slots},
             {"concurrency", upstream.m_concurrency},
@@ -136,6 +121,21 @@
 
 } // namespace
 
+std::string_view standing_name(health::health_status standing)
+{
+    switch (standing) {
+    case health::health_status::healthy:
+        return "healthy";
+    case health::health_status::trial:
+        return "trial";
+    case health::health_status::ramping:
+        return "ramping";
+    case health::health_status::ejected:
+        return "ejected";
+    }
+    return "invalid";
+}
+
 json_value documents_json(const admin_view& view)
 {
     auto list = json_value::array();
--- a/libraries/libadmin/resource_json.h
+++ b/libraries/libadmin/resource_json.h
@@ -10,6 +10,9 @@
 
 namespace chivevane {
 
+/// Returns the name of a health status in the API.
+std::string_view standing_name(health::health_status standing);
+
 /// Returns the documents in force with their revisions.
 json_value documents_json(const admin_view& view);
 
