--- a/libraries/libcontrol/fleet_commands.cpp
+++ b/libraries/libcontrol/fleet_commands.cpp
@@ -124,6 +124,19 @@
     if (!options.m_timeline_hosts.empty()) {
         return options.m_timeline_hosts;
     }
+    return live_host_addresses(client);
+}
+
+std::tuple<std::int64_t, std::uint32_t, std::string> timeline_order(const json_value& entry)
+{
+    return {entry.value("wall_ms", std::int64_t{0}), entry.value("counter", 0U),
+            entry.value("host", "")};
+}
+
+} // namespace
+
+result<std::vector<std::string>> live_host_addresses(const session& client)
+{
     const auto known = list_known_hosts(client);
     if (is_error(known)) {
         return error_of(known);
@@ -137,14 +150,6 @@
     return addresses;
 }
 
-std::tuple<std::int64_t, std::uint32_t, std::string> timeline_order(const json_value& entry)
-{
-    return {entry.value("wall_ms", std::int64_t{0}), entry.value("counter", 0U),
-            entry.value("host", "")};
-}
-
-} // namespace
-
 command_result show_rollout(const std::string& name, const command_options& options,
                             const session& client)
 {
--- a/libraries/libcontrol/run_command.cpp
+++ b/libraries/libcontrol/run_command.cpp
@@ -4,6 +4,7 @@
 #include "libbase/digest.h"
 #include "libcontrol/command_result.h"
 #include "libcontrol/document_access.h"
+#include "libcontrol/explain_command.h"
 #include "libcontrol/fleet_commands.h"
 #include "libcontrol/format_text.h"
 #include "libdocument/diff_documents.h"
@@ -236,6 +237,12 @@
     return show_timeline(call.m_options, call.m_client);
 }
 
+command_result explain(const invocation& call)
+{
+    return show_explanation(call.m_arguments[0], call.m_arguments[1], call.m_options,
+                            call.m_client);
+}
+
 /// Declares a host dead, so that other hosts take over its rate limit shares. All its processes
 /// must have ended. The command is safe to repeat.
 command_result declare_host_dead(const invocation& call)
@@ -280,6 +287,7 @@
     command_entry{"upstreams", "", 0, upstreams},
     command_entry{"organisations", "", 0, organisations},
     command_entry{"timeline", "", 0, timeline},
+    command_entry{"explain", "", 2, explain},
 };
 
 bool matches(const command_entry& entry, std::span<const std::string> words)
@@ -324,8 +332,11 @@
   host declare-dead HOST                    hands on the shares of a host; all its processes must
                                             have ended, or a rate may be exceeded
   timeline                                  merges the time lines of all hosts
+  explain METHOD URL-OR-PATH                shows where a request would go now and why; sends none
 Options: --host=ip:port,... --token=... --token_file=FILE (or CHIVEVANE_TOKEN) --output=text|json
   --expected_revision=N (apply) --wait=SECONDS (rollout) --hosts=ip:port,... --limit=N (timeline)
+  --key=KEY | --key_file=FILE | --organisation=NAME --timeout_ms=N --all (explain)
+  --json: the same as --output=json
 Exit codes: 0 done, 1 refused, 2 bad input, 3 conflict, 4 unreachable, 5 unknown, 6 incomplete
 )";
 }
--- a/libraries/libcontrol/run_command.h
+++ b/libraries/libcontrol/run_command.h
@@ -14,6 +14,14 @@
 
 enum class output_format : std::uint8_t { text, json };
 
+/// The options of `explain`.
+struct explain_options {
+    std::string m_key; ///< The caller's key, of which only the digest is sent; may be empty.
+    std::string m_organisation; ///< NAME or DOCUMENT/NAME, in place of a key; may be empty.
+    std::optional<std::uint64_t> m_timeout_ms; ///< The time that the caller has left.
+    bool m_asks_all_hosts = false;             ///< Whether all hosts that are not dead are asked.
+};
+
 /// The options of the command line.
 struct command_options {
     output_format m_output = output_format::text;
@@ -23,6 +31,7 @@
     /// The administration addresses (ip:port) that `timeline` reads from. If empty, it reads from
     /// all hosts that are not known to be dead.
     std::vector<std::string> m_timeline_hosts;
+    explain_options m_explain;
 };
 
 /// The output and exit code of a command.
--- a/utilities/chivevanectl/main.cpp
+++ b/utilities/chivevanectl/main.cpp
@@ -20,6 +20,12 @@
 DEFINE_double(wait, 0, "rollout: seconds to wait until every living host has the revision");
 DEFINE_string(hosts, "", "timeline: the hosts to ask instead of all that are known");
 DEFINE_uint64(limit, 1000, "timeline: entries of each host");
+DEFINE_string(key, "", "explain: the caller's key, of which only the digest is sent");
+DEFINE_string(key_file, "", "explain: file with the caller's key");
+DEFINE_string(organisation, "", "explain: the caller's organisation in place of a key");
+DEFINE_int64(timeout_ms, -1, "explain: the time in ms that the caller has left");
+DEFINE_bool(all, false, "explain: ask all hosts that are not dead");
+DEFINE_bool(json, false, "the same as --output=json");
 
 namespace {
 
@@ -42,6 +48,18 @@
     return addresses;
 }
 
+/// Reads a secret from a file and drops the line ends after it.
+result<std::string> read_secret(const std::string& path)
+{
+    auto content = read_file(path);
+    if (is_error(content)) {
+        return content;
+    }
+    auto secret = value_of(std::move(content));
+    secret.erase(secret.find_last_not_of("\r\n") + 1);
+    return secret;
+}
+
 result<std::string> read_token()
 {
     if (!FLAGS_token.empty()) {
@@ -51,13 +69,23 @@
         const auto* const token = std::getenv("CHIVEVANE_TOKEN");
         return std::string{token == nullptr ? "" : token};
     }
-    auto content = read_file(FLAGS_token_file);
-    if (is_error(content)) {
-        return content;
+    return read_secret(FLAGS_token_file);
+}
+
+result<explain_options> read_explain_options()
+{
+    explain_options options{FLAGS_key, FLAGS_organisation, std::nullopt, FLAGS_all};
+    if (FLAGS_timeout_ms >= 0) {
+        options.m_timeout_ms = static_cast<std::uint64_t>(FLAGS_timeout_ms);
     }
-    auto token = value_of(std::move(content));
-    token.erase(token.find_last_not_of("\r\n") + 1);
-    return token;
+    if (!FLAGS_key_file.empty()) {
+        auto key = read_secret(FLAGS_key_file);
+        if (is_error(key)) {
+            return error_of(key);
+        }
+        options.m_key = value_of(std::move(key));
+    }
+    return options;
 }
 
 result<command_options> read_options()
@@ -67,7 +95,8 @@
         return error{error_kind::out_of_range, "There is no output " + FLAGS_output + ".",
                      "Use text or json."};
     }
-    options.m_output = FLAGS_output == "json" ? output_format::json : output_format::text;
+    options.m_output =
+        FLAGS_json || FLAGS_output == "json" ? output_format::json : output_format::text;
     if (FLAGS_expected_revision >= 0) {
         options.m_expected_revision = static_cast<std::uint64_t>(FLAGS_expected_revision);
     }
@@ -78,6 +107,11 @@
         return error_of(hosts);
     }
     options.m_timeline_hosts = value_of(std::move(hosts));
+    auto explain = read_explain_options();
+    if (is_error(explain)) {
+        return error_of(explain);
+    }
+    options.m_explain = value_of(std::move(explain));
     return options;
 }
 
