--- a/tests/libpolicy/explain_fixture.cpp
+++ b/tests/libpolicy/explain_fixture.cpp
@@ -176,7 +176,7 @@
     const std::vector<std::string> keys{"parish-key", "parish-key", "abbey-key",
                                         "guild-key",  "wrong-key",  ""};
     const std::vector<std::string> methods{"GET", "POST", "GET", "bad method"};
-    const auto method = methods[pick(20) == 0 ? 3 : pick(3)];
+    const auto& method = methods[pick(20) == 0 ? 3 : pick(3)];
     auto request = make_request(method, targets[pick(static_cast<std::uint32_t>(targets.size()))],
                                 keys[pick(static_cast<std::uint32_t>(keys.size()))]);
     if (pick(3) == 0) {
--- a/tests/libpolicy/explain_test.cpp
+++ b/tests/libpolicy/explain_test.cpp
@@ -35,6 +35,17 @@
     return nullptr;
 }
 
+void check_route(const route_explanation& route, const attempt_metadata& metadata)
+{
+    BOOST_TEST(route.m_document == metadata.m_document);
+    BOOST_TEST(route.m_revision == metadata.m_revision);
+    BOOST_TEST(route.m_route == metadata.m_route);
+    BOOST_TEST(route.m_organisation == metadata.m_organisation);
+    BOOST_TEST(route.m_gate_priority == metadata.m_priority);
+    const auto sent_left = std::max<std::int64_t>(to_milliseconds(route.m_time_left) - 5, 1);
+    BOOST_TEST(sent_left == metadata.m_timeout_left.count()); // Gates get a margin of 5 ms.
+}
+
 /// Compares the first attempt of a request with its explanation.
 void check_attempt(const request_explanation& explanation, const start_transfer& transfer)
 {
@@ -52,14 +63,7 @@
     BOOST_TEST(candidate->m_probability > 0);
     BOOST_TEST((candidate->m_queueing == metadata.m_queueing));
     BOOST_TEST((candidate->m_circuit_breaker_mode == metadata.m_circuit_breaker_mode));
-    const auto& route = *explanation.m_route;
-    BOOST_TEST(route.m_document == metadata.m_document);
-    BOOST_TEST(route.m_revision == metadata.m_revision);
-    BOOST_TEST(route.m_route == metadata.m_route);
-    BOOST_TEST(route.m_organisation == metadata.m_organisation);
-    BOOST_TEST(route.m_gate_priority == metadata.m_priority);
-    const auto sent_left = std::max<std::int64_t>(to_milliseconds(route.m_time_left) - 5, 1);
-    BOOST_TEST(sent_left == metadata.m_timeout_left.count()); // Gates get a margin of 5 ms.
+    check_route(explanation.m_route.value(), metadata);
 }
 
 /// Compares a refusal with the explanation, problem document included.
