admission: Add load shedding by cost

Cause: under overload a gate keeps what it has queued until shortly before the deadline, counts each request as one whatever its run time, and refuses newcomers by their place in the queue.

Change: load_shedding decides on plain data which queued attempts run in which order and which are refused now. With overload_policy::least_cost, admission orders the queue by priority, slot time used, and due time, and the gate refuses what can no longer be in time or gives way as overloaded, not run. It logs at most one line a second for an upstream and counts the refusals by cause. With overload_policy::priority nothing changes.

--- a/libraries/libadmin/metrics_text.cpp
+++ b/libraries/libadmin/metrics_text.cpp
@@ -117,6 +117,17 @@
     }
 }
 
+void write_shed_attempts(metrics_writer& writer, const admission_state& admission)
+{
+    writer.begin("shed_attempts_total", "counter",
+                 "Attempts that the gate refused after it had queued them, by cause.");
+    for (std::size_t cause = 0; cause < admission.m_shed_counts.size(); ++cause) {
+        const auto name = load_shedding::to_string(static_cast<load_shedding::shed_cause>(cause));
+        writer.sample(fmt::format("cause=\"{}\"", name),
+                      static_cast<double>(admission.m_shed_counts.at(cause)));
+    }
+}
+
 /// Writes one gauge with a sample for each upstream of all known hosts.
 template <typename Value>
 void write_upstreams(metrics_writer& writer, const admin_view& view, std::string_view name,
@@ -165,6 +176,7 @@
                          static_cast<double>(view.m_host_state.m_ingress.m_requests.size()));
     writer.single_sample("attempts_in_progress", "gauge", "Attempts at the gate of this host now.",
                          static_cast<double>(view.m_host_state.m_gate.m_attempts.size()));
+    write_shed_attempts(writer, view.m_host_state.m_admission);
     write_all_upstreams(writer, view);
     return writer.release_text();
 }
--- a/libraries/libpolicy/admission/admission.cpp
+++ b/libraries/libpolicy/admission/admission.cpp
@@ -1,22 +1,18 @@
 #include "libpolicy/admission/admission.h"
 
+#include "libpolicy/admission/least_cost.h"
+#include "libpolicy/admission/queue_entry.h"
+
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace chivevane::admission {
 
 namespace {
 
-/// Length of the queue for each attempt that may run at once. In a longer one attempts would wait
-/// longer than callers do.
-constexpr std::size_t queue_length_per_running = 16;
-
 constexpr double mean_weight = 0.05; ///< Averages about the last twenty runs.
 
-/// The run time of the attempt itself is estimated as this multiple of its mean, so that most
-/// attempts that are queued get their answer in time.
-constexpr double run_time_margin_factor = 2;
-
 /// Share of the concurrency up to which an attempt that must not be queued is started. The rest is
 /// left for bursts, and an upstream that is nearly full answers slowly.
 constexpr double idle_share = 0.75;
@@ -31,12 +27,6 @@
 /// confirmation. The rest covers the starts until the health check is answered.
 constexpr double share_before_confirmation = 0.5;
 
-/// Whether a start rate protects the upstream while it is cold.
-bool is_rate_limited(const upstream_admission& upstream)
-{
-    return upstream.m_cold_bounds.m_start_rate > 0;
-}
-
 /// The warm-up state that the concurrency limit starts from. A limit beside a configured start rate
 /// only paces starts after refusals, as for a cold upstream.
 warm_up_state basis_of_limit(const admission_state& state, const upstream_admission& upstream)
@@ -46,14 +36,6 @@
     return is_learnt_from_one ? warm_up_state::cold : upstream.m_announced;
 }
 
-/// How many attempts may run at once. If the start rate that a cold upstream tolerates is
-/// configured, that rate protects it and all slots are used. Otherwise the limit is learnt from its
-/// answers.
-std::uint32_t concurrency_of(const upstream_admission& upstream)
-{
-    return is_rate_limited(upstream) ? upstream.m_limit.m_slots : current_limit(upstream.m_limit);
-}
-
 /// Limit on starts: of those after `m_since`, at most `m_limit` may fall in any second.
 struct start_limit {
     std::uint32_t m_limit = 1;
@@ -138,63 +120,32 @@
                : accepted_at;
 }
 
-void record_started(upstream_admission& upstream, instant now)
+/// Queues an attempt if the policy allows it. Returns whether it is queued.
+bool try_queue(admission_state& state, upstream_admission& upstream, const queued_attempt& attempt,
+               instant now)
 {
-    ++upstream.m_running;
-    record_start(upstream.m_accepted_rate, now);
-    if (is_rate_limited(upstream)) {
-        record_start(upstream.m_starts, now);
+    if (uses_least_cost(state, upstream)) {
+        const auto refused = queue_by_cost(upstream, attempt, now);
+        if (refused && refused != load_shedding::shed_cause::hopeless) {
+            record_queue_refusal(upstream, attempt.m_priority, now);
+        }
+        return !refused;
     }
-}
-
-/// How many attempts of one flow may be queued: an equal share of the queue among the flows of the
-/// same or higher urgency. Attempts without an organisation can come from any number of callers and
-/// may use the whole queue.
-std::size_t max_queue_length(const upstream_admission& upstream, const queue_flow& flow)
-{
-    const auto queue_capacity = queue_length_per_running * concurrency_of(upstream);
-    if (flow.m_organisation.empty()) {
-        return queue_capacity;
+    if (!may_wait(upstream, attempt, now)) {
+        record_queue_refusal(upstream, attempt.m_priority, now);
+        return false;
     }
-    const auto& flows = upstream.m_queue.m_flows;
-    const auto competing_flows =
-        std::count_if(flows.begin(), flows.end(), [&flow](const auto& entry) {
-            return entry.first != flow && !entry.first.m_organisation.empty() &&
-                   entry.first.m_priority <= flow.m_priority;
-        });
-    const bool has_more_urgent_calls =
-        std::any_of(flows.begin(), flows.end(), [&flow](const auto& entry) {
-            return entry.first.m_organisation.empty() && entry.first.m_priority <= flow.m_priority;
-        });
-    const auto sharing = competing_flows + (has_more_urgent_calls ? 2 : 1);
-    return std::max<std::size_t>(1, queue_capacity / static_cast<std::size_t>(sharing));
+    push(upstream.m_queue, attempt);
+    return true;
 }
 
-/// When a new attempt would get its answer, after those that run and those queued ahead of it.
-instant expected_answer(const upstream_admission& upstream, const queued_attempt& attempt,
-                        instant now)
+void record_started(upstream_admission& upstream, instant now)
 {
-    const auto ahead =
-        static_cast<std::int64_t>(count_ahead(upstream.m_queue, flow_of(attempt), now));
-    const auto wait_by_rate = time_for_starts(upstream.m_accepted_rate, ahead);
-    if (is_rate_limited(upstream) || upstream.m_limit.m_announced == warm_up_state::warm) {
-        const auto mean = from_seconds(upstream.m_mean_run_s);
-        const auto own = attempt.m_expected_run == duration{} ? mean : attempt.m_expected_run;
-        const duration wait = mean * (ahead + 1) / concurrency_of(upstream);
-        return now + from_seconds(to_seconds(own) * run_time_margin_factor) +
-               std::max(wait_by_rate, wait);
+    ++upstream.m_running;
+    record_start(upstream.m_accepted_rate, now);
+    if (is_rate_limited(upstream)) {
+        record_start(upstream.m_starts, now);
     }
-    const auto typical = typical_latency(upstream.m_limit);
-    const duration wait = typical * ahead / concurrency_of(upstream);
-    return now + typical + std::max(wait_by_rate, wait);
-}
-
-bool may_wait(const upstream_admission& upstream, const queued_attempt& attempt, instant now)
-{
-    const auto flow = flow_of(attempt);
-    return queue_length(upstream.m_queue, flow) < max_queue_length(upstream, flow) &&
-           expected_answer(upstream, attempt, now) <=
-               std::min(attempt.m_target, attempt.m_deadline);
 }
 
 } // namespace
@@ -288,6 +239,9 @@
         return {};
     }
     auto waiting = take_due(found->second.m_queue, instant::max());
+    for (auto& shed : found->second.m_shed) {
+        waiting.push_back(std::move(shed.m_attempt));
+    }
     state.m_upstreams.erase(found);
     return waiting;
 }
@@ -305,18 +259,13 @@
     if (is_next && (is_queueing_forbidden ? is_idle(upstream, attempt.m_priority, now)
                                           : has_room(upstream, attempt.m_priority, now))) {
         record_started(upstream, now);
-        record_use(upstream.m_queue, flow_of(attempt), now);
+        record_use(upstream.m_queue, flow_of(attempt), now, cost_to_flow(state, upstream, attempt));
         return decision::started;
     }
     if (is_queueing_forbidden) {
         return decision::refused;
     }
-    if (!may_wait(upstream, attempt, now)) {
-        record_queue_refusal(upstream, attempt.m_priority, now);
-        return decision::refused;
-    }
-    push(upstream.m_queue, attempt);
-    return decision::queued;
+    return try_queue(state, upstream, attempt, now) ? decision::queued : decision::refused;
 }
 
 void release(admission_state& state, std::string_view endpoint, run_result result, duration latency,
@@ -353,8 +302,12 @@
     for (auto& [endpoint, upstream] : state.m_upstreams) {
         while (upstream.m_queue.m_size > 0 &&
                has_room(upstream, next_priority(upstream.m_queue), now)) {
-            startable.push_back(*pop(upstream.m_queue, now));
-            record_started(upstream, now);
+            auto next = uses_least_cost(state, upstream) ? pop_by_cost(upstream, now)
+                                                         : pop(upstream.m_queue, now);
+            if (next) {
+                startable.push_back(*std::move(next));
+                record_started(upstream, now);
+            }
         }
     }
     return startable;
@@ -364,12 +317,33 @@
 {
     std::vector<queued_attempt> expired;
     for (auto& [endpoint, upstream] : state.m_upstreams) {
+        if (uses_least_cost(state, upstream)) {
+            continue; // `take_shed` removes them before.
+        }
         const auto due = take_due(upstream.m_queue, now + typical_latency(upstream.m_limit));
         std::copy(due.begin(), due.end(), std::back_inserter(expired));
     }
     return expired;
 }
 
+std::vector<shed_attempt> take_shed(admission_state& state, instant now)
+{
+    std::vector<shed_attempt> shed;
+    for (auto& [endpoint, upstream] : state.m_upstreams) {
+        if (uses_least_cost(state, upstream)) {
+            shed_excess(upstream, now);
+        }
+        for (auto& each : std::exchange(upstream.m_shed, {})) {
+            if (each.m_cause != load_shedding::shed_cause::hopeless) {
+                record_queue_refusal(upstream, each.m_attempt.m_priority, now);
+            }
+            ++state.m_shed_counts.at(static_cast<std::size_t>(each.m_cause));
+            shed.push_back(std::move(each));
+        }
+    }
+    return shed;
+}
+
 load load_of(const admission_state& state, std::string_view endpoint)
 {
     const auto found = state.m_upstreams.find(endpoint);
@@ -385,11 +359,16 @@
 {
     auto earliest = instant::max();
     for (const auto& [endpoint, upstream] : state.m_upstreams) {
+        if (uses_least_cost(state, upstream)) {
+            earliest = std::min(earliest, next_shed_check(upstream));
+        }
         if (upstream.m_queue.m_size == 0) {
             continue;
         }
-        const auto typical = typical_latency(upstream.m_limit);
-        earliest = std::min(earliest, upstream.m_queue.m_earliest_deadline - typical);
+        if (!uses_least_cost(state, upstream)) {
+            const auto typical = typical_latency(upstream.m_limit);
+            earliest = std::min(earliest, upstream.m_queue.m_earliest_deadline - typical);
+        }
         if (upstream.m_running < concurrency_of(upstream)) {
             earliest = std::min(
                 earliest, std::max({upstream.m_limit.m_paused_until, next_start_by_rate(upstream),
--- a/libraries/libpolicy/admission/admission.h
+++ b/libraries/libpolicy/admission/admission.h
@@ -80,6 +80,11 @@
 /// typical latency.
 std::vector<queued_attempt> take_expired(admission_state& state, instant now);
 
+/// Removes and returns the queued attempts that are refused under `overload_policy::least_cost`:
+/// those that can no longer be answered in time, and those that give way to others. Must be called
+/// after each `offer` and `take_startable`.
+std::vector<shed_attempt> take_shed(admission_state& state, instant now);
+
 /// Current load of an upstream, in attempts.
 struct load {
     std::uint32_t m_concurrency = 0; ///< How many the gate admits at once.
@@ -88,7 +93,7 @@
 };
 load load_of(const admission_state& state, std::string_view endpoint);
 
-/// When `take_startable` or `take_expired` may next return something.
+/// When `take_startable`, `take_expired` or `take_shed` may next return something.
 instant next_wakeup(const admission_state& state);
 
 } // namespace chivevane::admission
--- a/libraries/libpolicy/admission/fair_queue.cpp
+++ b/libraries/libpolicy/admission/fair_queue.cpp
@@ -13,21 +13,6 @@
 constexpr duration use_decay_time = 1s; // A flooding organisation yields for about this long.
 constexpr double negligible_use = 0.05;
 
-/// Recent use of a flow, decayed until now. Attempts without an organisation have no use, as they
-/// cannot be attributed to one.
-double use_of(const fair_queue& queue, const queue_flow& flow, instant now)
-{
-    if (flow.m_organisation.empty()) {
-        return 0;
-    }
-    const auto found = queue.m_recent_use.find(flow);
-    if (found == queue.m_recent_use.end()) {
-        return 0;
-    }
-    const auto age = to_seconds(now - found->second.m_decayed_at) / to_seconds(use_decay_time);
-    return found->second.m_attempts * std::exp(-age);
-}
-
 void expire_use(fair_queue& queue, instant now)
 {
     if (now < queue.m_next_use_expiry) {
@@ -47,14 +32,33 @@
                   [&queue](const auto& flow) { return !queue.m_flows.contains(flow); });
     queue.m_size = 0;
     queue.m_earliest_deadline = instant::max();
+    queue.m_earliest_latest_start = instant::max();
     for (const auto& [flow, attempts] : queue.m_flows) {
         queue.m_size += attempts.size();
         for (const auto& waiting : attempts) {
             queue.m_earliest_deadline = std::min(queue.m_earliest_deadline, waiting.m_deadline);
+            queue.m_earliest_latest_start =
+                std::min(queue.m_earliest_latest_start, latest_start_of(waiting));
         }
     }
 }
 
+/// Removes and returns the attempts for which `is_taken` is true.
+template <typename Predicate>
+std::vector<queued_attempt> take_if(fair_queue& queue, Predicate is_taken)
+{
+    std::vector<queued_attempt> taken;
+    for (auto& [flow, attempts] : queue.m_flows) {
+        const auto first = std::stable_partition(
+            attempts.begin(), attempts.end(),
+            [&is_taken](const queued_attempt& waiting) { return !is_taken(waiting); });
+        std::copy(first, attempts.end(), std::back_inserter(taken));
+        attempts.erase(first, attempts.end());
+    }
+    remove_empty_flows(queue);
+    return taken;
+}
+
 /// Removes and returns the flow that is served next: of the most urgent priority the one with the
 /// least recent use, and of equal ones the longest unserved.
 queue_flow take_next_flow(fair_queue& queue, instant now)
@@ -82,23 +86,61 @@
     return {attempt.m_priority, attempt.m_organisation};
 }
 
-void record_use(fair_queue& queue, const queue_flow& flow, instant now)
+instant due_time_of(const queued_attempt& attempt)
+{
+    return std::min(attempt.m_target, attempt.m_deadline);
+}
+
+instant latest_start_of(const queued_attempt& attempt)
+{
+    return due_time_of(attempt) - attempt.m_expected_run;
+}
+
+double cost_of(const queued_attempt& attempt, duration mean_run)
+{
+    return mean_run == duration{} || attempt.m_expected_run == duration{}
+               ? 1
+               : to_seconds(attempt.m_expected_run) / to_seconds(mean_run);
+}
+
+double use_of(const fair_queue& queue, const queue_flow& flow, instant now)
+{
+    if (flow.m_organisation.empty()) {
+        return 0;
+    }
+    const auto found = queue.m_recent_use.find(flow);
+    if (found == queue.m_recent_use.end()) {
+        return 0;
+    }
+    const auto age = to_seconds(now - found->second.m_decayed_at) / to_seconds(use_decay_time);
+    return found->second.m_attempts * std::exp(-age);
+}
+
+void record_use(fair_queue& queue, const queue_flow& flow, instant now, double cost)
 {
     const auto use = use_of(queue, flow, now);
-    queue.m_recent_use[flow] = {use + 1, now};
+    queue.m_recent_use[flow] = {use + cost, now};
     expire_use(queue, now);
 }
 
-void push(fair_queue& queue, const queued_attempt& attempt)
+void push(fair_queue& queue, const queued_attempt& attempt, queue_order order)
 {
     auto flow = flow_of(attempt);
     auto& attempts = queue.m_flows[flow];
     if (attempts.empty()) {
         queue.m_service_order.push_back(std::move(flow));
     }
-    attempts.push_back(attempt);
+    const auto place = order == queue_order::by_arrival
+                           ? attempts.end()
+                           : std::upper_bound(attempts.begin(), attempts.end(), attempt,
+                                              [](const queued_attempt& a, const queued_attempt& b) {
+                                                  return due_time_of(a) < due_time_of(b);
+                                              });
+    attempts.insert(place, attempt);
     ++queue.m_size;
     queue.m_earliest_deadline = std::min(queue.m_earliest_deadline, attempt.m_deadline);
+    queue.m_earliest_latest_start =
+        std::min(queue.m_earliest_latest_start, latest_start_of(attempt));
 }
 
 std::optional<queued_attempt> pop(fair_queue& queue, instant now)
@@ -139,20 +181,27 @@
 
 std::vector<queued_attempt> take_due(fair_queue& queue, instant limit)
 {
-    std::vector<queued_attempt> due;
-    if (queue.m_earliest_deadline > limit) {
-        return due;
-    }
-    const auto is_alive = [limit](const queued_attempt& waiting) {
-        return waiting.m_deadline > limit;
-    };
-    for (auto& [flow, attempts] : queue.m_flows) {
-        const auto first_due = std::stable_partition(attempts.begin(), attempts.end(), is_alive);
-        std::copy(first_due, attempts.end(), std::back_inserter(due));
-        attempts.erase(first_due, attempts.end());
-    }
-    remove_empty_flows(queue);
-    return due;
+    return queue.m_earliest_deadline > limit
+               ? std::vector<queued_attempt>{}
+               : take_if(queue, [limit](const queued_attempt& waiting) {
+                     return waiting.m_deadline <= limit;
+                 });
+}
+
+std::vector<queued_attempt> take_hopeless(fair_queue& queue, instant now)
+{
+    return queue.m_earliest_latest_start > now
+               ? std::vector<queued_attempt>{}
+               : take_if(queue, [now](const queued_attempt& waiting) {
+                     return latest_start_of(waiting) <= now;
+                 });
+}
+
+std::vector<queued_attempt> take(fair_queue& queue, const std::set<attempt_id>& attempts)
+{
+    return take_if(queue, [&attempts](const queued_attempt& waiting) {
+        return attempts.contains(waiting.m_attempt);
+    });
 }
 
 std::uint32_t next_priority(const fair_queue& queue)
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -9,6 +9,7 @@
 #include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/gate/run_outcomes.h"
 #include "libpolicy/gate/running_attempts.h"
+#include "libpolicy/gate/shed_attempts.h"
 #include "libpolicy/gate/upstream_statements.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/is_idempotent.h"
@@ -427,6 +428,7 @@
     for (const auto& expired : admission::take_expired(self.m_admission, context.m_now)) {
         refuse_attempt(self, context, expired.m_attempt, refusal_kind::deadline_exceeded);
     }
+    refuse_shed_attempts(self, context);
     for (const auto& id : remove_expired_upstreams(self, context)) {
         refuse_attempt(self, context, id, refusal_kind::no_upstream);
     }
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -27,6 +27,12 @@
 
 namespace chivevane {
 
+/// Limits the log lines about attempts that were refused while they were queued.
+struct shed_log {
+    instant m_next_line;          ///< No line is written before.
+    std::uint64_t m_left_out = 0; ///< Attempts without a line since the last one.
+};
+
 /// State of an upstream behind this gate.
 struct local_upstream {
     upstream_announcement m_latest; ///< Latest announcement.
@@ -43,6 +49,7 @@
     bool m_has_said_leaving = false;
     std::optional<double> m_named_rate; ///< Requests per second that it accepts, by its answers.
     instant m_rate_named_at;            ///< When an answer last named a rate.
+    shed_log m_shed_log;
 };
 
 /// Phase of an attempt at the gate.
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -7,6 +7,7 @@
 #include "libpolicy/gate/health_checks.h"
 #include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/gate/run_outcomes.h"
+#include "libpolicy/gate/shed_attempts.h"
 #include "libpolicy/gate/silence_limit.h"
 #include "libpolicy/health/health.h"
 #include "libpolicy/host_state.h"
@@ -151,6 +152,7 @@
         metadata.m_queueing};
     admission::set_cold_bounds(self.m_admission, metadata.m_endpoint,
                                cold_bounds_of(self, metadata));
+    self.m_admission.m_overload = context.m_settings.m_overload;
     const auto decision = admission::offer(self.m_admission, queued, context.m_now);
     check_health_if_due(self, context, metadata.m_endpoint);
     switch (decision) {
@@ -166,6 +168,7 @@
                            : refusal_kind::overloaded);
         break;
     }
+    refuse_shed_attempts(self, context);
 }
 
 /// Runs a suspected request alone, holds it while another with its fingerprint runs, or refuses it
@@ -389,6 +392,7 @@
     for (const auto& waiting : admission::take_startable(self.m_admission, context.m_now)) {
         hand_over(self, context, waiting.m_attempt);
     }
+    refuse_shed_attempts(self, context);
 }
 
 void refuse_attempt(host_state& self, reducer_context& context, const attempt_id& id,
--- a/libraries/libpolicy/host_settings.h
+++ b/libraries/libpolicy/host_settings.h
@@ -23,6 +23,14 @@
     serve,  ///< It serves requests by the documents that it has.
 };
 
+/// How a gate chooses what it queues and what it refuses when there is more work than the upstream
+/// can run.
+enum class overload_policy : std::uint8_t {
+    priority,   ///< In order of priority and arrival; an attempt that is queued keeps its place.
+    least_cost, ///< Work that would be late or costs more gives way to other work; see
+                ///< load_shedding.h.
+};
+
 /// How the rate limit of an organisation is enforced over all hosts.
 enum class rate_mode : std::uint8_t {
     exact,   ///< Hosts lease shares of the limit, which is never exceeded; see limits.h.
@@ -82,6 +90,7 @@
     unconfirmed_documents_policy m_unconfirmed_documents_policy =
         unconfirmed_documents_policy::refuse;
     rate_mode m_rate_mode = rate_mode::exact;
+    overload_policy m_overload = overload_policy::priority;
     gossip_settings m_gossip;
     retry_limits m_retries;
 
