--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -279,6 +279,9 @@
     if (read_choice(reader, "rates", "exact", "metered")) {
         policy.m_rate_mode = rate_mode::metered;
     }
+    if (read_choice(reader, "overload", "priority", "least_cost")) {
+        policy.m_overload = overload_policy::least_cost;
+    }
     if (reader.has("timing")) {
         read_gossip_settings(reader.place_of("timing"), policy, faults);
     }
@@ -336,6 +339,7 @@
                             "placement",
                             "stale_rules",
                             "rates",
+                            "overload",
                             "timing",
                             "retries",
                             "cold_tolerance",
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -145,6 +145,7 @@
 {
     const auto text = with_line("shared_secret", "shared_secret_key: fleet/secret") +
                       "placement: probing\nstale_rules: serve\nrates: metered\nservice: tides\n"
+                      "overload: least_cost\n"
                       "timing: {round_ms: 1000, receivers: 2, probes: 1, crash_report_sends: 2, "
                       "contacts: 64, start_spread_ms: 200}\n"
                       "retries: {share: 0.18, reserve: 62}\nrate_slack: 20\n"
@@ -158,6 +159,7 @@
     BOOST_TEST((policy.m_placement == placement_mode::probing));
     BOOST_TEST((policy.m_unconfirmed_documents_policy == unconfirmed_documents_policy::serve));
     BOOST_TEST((policy.m_rate_mode == rate_mode::metered));
+    BOOST_TEST((policy.m_overload == overload_policy::least_cost));
     BOOST_TEST(policy.m_service == "tides");
     BOOST_TEST((policy.m_gossip == gossip_settings{1s, 2, 1, 2, 64, 200ms}));
     BOOST_TEST(policy.m_retries.m_share == 0.18);
@@ -167,10 +169,21 @@
     BOOST_TEST((policy.m_watch_timeout == 8s));
     BOOST_TEST(faults_of(text + "shared_secret: 0123456789abcdef\n").size() == 1U);
     BOOST_TEST(faults_of(valid_settings + "placement: best\n").size() == 1U);
+    BOOST_TEST(faults_of(valid_settings + "overload: lowest\n").size() == 1U);
     BOOST_TEST(faults_of(valid_settings + "rate_slack: -1\n").size() == 1U);
     BOOST_TEST(faults_of(valid_settings + "cold_tolerance: {factor: 0.5}\n").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_overload_policy_is_priority_unless_it_is_set)
+{
+    for (const auto& line : {"", "overload: priority\n"}) {
+        const auto parsed = parse_settings(valid_settings + line, read_file);
+        const auto* const read = std::get_if<daemon_settings>(&parsed);
+        BOOST_TEST_REQUIRE((read != nullptr));
+        BOOST_TEST((read->m_policy.m_overload == overload_policy::priority));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_shutdown_limit_follows_from_the_time_until_the_process_is_killed)
 {
     for (const auto& [line, limit] :
