--- a/libraries/libpolicy/admission/least_cost.cpp
+++ b/libraries/libpolicy/admission/least_cost.cpp
@@ -85,7 +85,10 @@
 
 bool uses_least_cost(const admission_state& state, const upstream_admission& upstream)
 {
-    return state.m_overload == overload_policy::least_cost && mean_run_of(upstream) > duration{};
+    const bool is_chosen = state.m_overload == overload_policy::least_cost_if_learned
+                               ? !is_rate_limited(upstream)
+                               : state.m_overload == overload_policy::least_cost;
+    return is_chosen && mean_run_of(upstream) > duration{};
 }
 
 std::optional<load_shedding::shed_cause> queue_by_cost(upstream_admission& upstream,
--- a/libraries/libpolicy/host_settings.h
+++ b/libraries/libpolicy/host_settings.h
@@ -29,6 +29,8 @@
     priority,   ///< In order of priority and arrival; an attempt that is queued keeps its place.
     least_cost, ///< Work that would be late or costs more gives way to other work; see
                 ///< load_shedding.h.
+    least_cost_if_learned, ///< `least_cost` for upstreams whose concurrency limit is learned,
+                           ///< `priority` for those with a configured start rate.
 };
 
 /// How the rate limit of an organisation is enforced over all hosts.
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -266,6 +266,22 @@
     tolerance.m_slack = reader.number_or("slack", cold_slack_bounds, tolerance.m_slack);
 }
 
+overload_policy read_overload_policy(yaml_map_reader& reader)
+{
+    const auto word = reader.text_or("overload", "priority");
+    if (word == "least_cost") {
+        return overload_policy::least_cost;
+    }
+    if (word == "least_cost_if_learned") {
+        return overload_policy::least_cost_if_learned;
+    }
+    if (word != "priority") {
+        reader.fault(error_kind::out_of_range, "overload", "there is no such choice.",
+                     "Use priority, least_cost or least_cost_if_learned.");
+    }
+    return overload_policy::priority;
+}
+
 /// Reads the settings for the service, placement, rate limits, retries and gossip.
 void read_fleet_settings(yaml_map_reader& reader, host_settings& policy, fault_list& faults)
 {
@@ -279,9 +295,7 @@
     if (read_choice(reader, "rates", "exact", "metered")) {
         policy.m_rate_mode = rate_mode::metered;
     }
-    if (read_choice(reader, "overload", "priority", "least_cost")) {
-        policy.m_overload = overload_policy::least_cost;
-    }
+    policy.m_overload = read_overload_policy(reader);
     if (reader.has("timing")) {
         read_gossip_settings(reader.place_of("timing"), policy, faults);
     }
--- a/tests/libpolicy/admission_test.cpp
+++ b/tests/libpolicy/admission_test.cpp
@@ -1,4 +1,5 @@
 #include "libpolicy/admission/admission.h"
+#include "libpolicy/admission/least_cost.h"
 
 #include "libbase/random_engine.h"
 
@@ -445,4 +446,18 @@
     BOOST_TEST(admission::load_of(state, "e").m_concurrency == 11U);
 }
 
+// Guards against a deployment with start rates whose queues are ordered in another way than before.
+BOOST_AUTO_TEST_CASE(least_cost_if_learned_leaves_upstreams_with_a_start_rate_as_they_were)
+{
+    admission_state state;
+    state.m_overload = overload_policy::least_cost_if_learned;
+    upstream_admission upstream;
+    upstream.m_mean_run_s = 0.5;
+    BOOST_TEST(admission::uses_least_cost(state, upstream));
+    upstream.m_cold_bounds = {4, 6};
+    BOOST_TEST(!admission::uses_least_cost(state, upstream));
+    state.m_overload = overload_policy::least_cost;
+    BOOST_TEST(admission::uses_least_cost(state, upstream));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -174,6 +174,16 @@
     BOOST_TEST(faults_of(valid_settings + "cold_tolerance: {factor: 0.5}\n").size() == 1U);
 }
 
+// Guards against a deployment with start rates that is served by another policy than before.
+BOOST_AUTO_TEST_CASE(the_overload_policy_may_depend_on_start_rates)
+{
+    const auto parsed =
+        parse_settings(valid_settings + "overload: least_cost_if_learned\n", read_file);
+    const auto* const read = std::get_if<daemon_settings>(&parsed);
+    BOOST_TEST_REQUIRE(read != nullptr);
+    BOOST_TEST((read->m_policy.m_overload == overload_policy::least_cost_if_learned));
+}
+
 BOOST_AUTO_TEST_CASE(the_overload_policy_is_priority_unless_it_is_set)
 {
     for (const auto& line : {"", "overload: priority\n"}) {
