ingress: Rank an organisation's requests by their routes under least cost

Change: where work gives way by its cost, the route ranks requests of the same organisation priority, and calls go before them; elsewhere all is as before.

--- a/libraries/libpolicy/ingress/new_request.cpp
+++ b/libraries/libpolicy/ingress/new_request.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
 #include <string_view>
 
 namespace chivevane::ingress {
@@ -66,6 +67,33 @@
     head.m_fields.push_back({std::string{caller_service_field}, service});
 }
 
+bool has_start_rate(const document& rules, std::string_view service)
+{
+    return std::any_of(rules.m_services.begin(), rules.m_services.end(),
+                       [service](const service_policy& each) {
+                           return each.m_name == service && each.m_cold_rate > 0;
+                       });
+}
+
+/// The rank of the request's route among requests of the same organisation priority. Where work
+/// gives way by its cost, the route decides what that of the organisation leaves open; otherwise
+/// all requests of an organisation have one rank.
+std::optional<std::uint32_t> route_rank(const reducer_context& context,
+                                        const ingress_request& request)
+{
+    switch (context.m_settings.m_overload) {
+    case overload_policy::priority:
+        return std::nullopt;
+    case overload_policy::least_cost:
+        return request.m_route->m_priority;
+    case overload_policy::least_cost_if_learned:
+        return has_start_rate(*request.m_document, request.m_service)
+                   ? std::nullopt
+                   : std::optional{request.m_route->m_priority};
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<refusal> reason_not_to_serve(const host_state& self, instant now)
@@ -98,7 +126,8 @@
     request.m_priority =
         context.m_settings.m_placement == placement_mode::probing
             ? request_priority({authorisation.m_priority, authorisation.m_organisation,
-                                context.m_settings.m_self.m_name, now})
+                                context.m_settings.m_self.m_name, now,
+                                route_rank(context, request)})
             : authorisation.m_priority;
     request.m_idempotency = idempotency_of(*authorisation.m_route, inbound.m_head.m_method);
     request.m_arrived_at = now;
--- a/libraries/libpolicy/ingress/request_priority.cpp
+++ b/libraries/libpolicy/ingress/request_priority.cpp
@@ -2,6 +2,8 @@
 
 #include "libbase/digest.h"
 
+#include <algorithm>
+
 namespace chivevane::ingress {
 
 namespace {
@@ -9,7 +11,10 @@
 /// Priorities at gates for each configured one: the classes of calls, and after them the requests
 /// of organisations.
 constexpr std::uint32_t call_classes = 15;
-constexpr std::uint32_t priorities_per_configured = call_classes + 1;
+constexpr std::uint32_t priorities_per_rank = call_classes + 1;
+
+/// Ranks of routes inside a configured priority. Less urgent routes share the last one.
+constexpr std::uint32_t route_ranks = 16;
 
 /// How long a host's calls keep their class. Most requests make all their calls within this time.
 constexpr duration class_duration = 2s;
@@ -34,11 +39,18 @@
     return static_cast<std::uint32_t>(stable_hash(host, period) % call_classes);
 }
 
+std::uint32_t rank_of(const priority_input& input)
+{
+    return input.m_route
+               ? input.m_configured * route_ranks + std::min(*input.m_route, route_ranks - 1)
+               : input.m_configured;
+}
+
 } // namespace
 
 std::uint32_t request_priority(const priority_input& input)
 {
-    const auto first = input.m_configured * priorities_per_configured;
+    const auto first = rank_of(input) * priorities_per_rank;
     if (!input.m_organisation.empty()) {
         return first + call_classes;
     }
--- a/libraries/libpolicy/ingress/request_priority.h
+++ b/libraries/libpolicy/ingress/request_priority.h
@@ -3,6 +3,7 @@
 #include "libbase/instant.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,8 @@
         m_organisation;      ///< Empty for requests that need no key, as calls of upstreams.
     std::string_view m_host; ///< The host of the ingress.
     instant m_now;
+    /// Priority of the route, if it ranks requests of the same configured priority.
+    std::optional<std::uint32_t> m_route = std::nullopt;
 };
 
 /// Returns the priority with which gates queue a request; 0 is the most urgent.
