--- a/libraries/libpolicy/host_settings.h
+++ b/libraries/libpolicy/host_settings.h
@@ -33,6 +33,13 @@
                            ///< `priority` for those with a configured start rate.
 };
 
+/// Whether the priority of a route ranks requests of the same organisation priority. Without ranks
+/// the priority of an organisation replaces that of the route.
+enum class route_ranking : std::uint8_t {
+    off,
+    if_learned, ///< For services without a configured start rate, whose concurrency is learned.
+};
+
 /// How the rate limit of an organisation is enforced over all hosts.
 enum class rate_mode : std::uint8_t {
     exact,   ///< Hosts lease shares of the limit, which is never exceeded; see limits.h.
@@ -93,6 +100,7 @@
         unconfirmed_documents_policy::refuse;
     rate_mode m_rate_mode = rate_mode::exact;
     overload_policy m_overload = overload_policy::priority;
+    route_ranking m_route_ranking = route_ranking::off;
     gossip_settings m_gossip;
     retry_limits m_retries;
 
--- a/libraries/libpolicy/ingress/new_request.cpp
+++ b/libraries/libpolicy/ingress/new_request.cpp
@@ -75,23 +75,14 @@
                        });
 }
 
-/// The rank of the request's route among requests of the same organisation priority. Where work
-/// gives way by its cost, the route decides what that of the organisation leaves open; otherwise
-/// all requests of an organisation have one rank.
+/// The rank of the request's route among requests of the same organisation priority; empty if
+/// routes do not rank them.
 std::optional<std::uint32_t> route_rank(const reducer_context& context,
                                         const ingress_request& request)
 {
-    switch (context.m_settings.m_overload) {
-    case overload_policy::priority:
-        return std::nullopt;
-    case overload_policy::least_cost:
-        return request.m_route->m_priority;
-    case overload_policy::least_cost_if_learned:
-        return has_start_rate(*request.m_document, request.m_service)
-                   ? std::nullopt
-                   : std::optional{request.m_route->m_priority};
-    }
-    return std::nullopt;
+    const bool is_ranked = context.m_settings.m_route_ranking == route_ranking::if_learned &&
+                           !has_start_rate(*request.m_document, request.m_service);
+    return is_ranked ? std::optional{request.m_route->m_priority} : std::nullopt;
 }
 
 } // namespace
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -296,6 +296,9 @@
         policy.m_rate_mode = rate_mode::metered;
     }
     policy.m_overload = read_overload_policy(reader);
+    if (read_choice(reader, "route_ranks", "off", "if_learned")) {
+        policy.m_route_ranking = route_ranking::if_learned;
+    }
     if (reader.has("timing")) {
         read_gossip_settings(reader.place_of("timing"), policy, faults);
     }
@@ -354,6 +357,7 @@
                             "stale_rules",
                             "rates",
                             "overload",
+                            "route_ranks",
                             "timing",
                             "retries",
                             "cold_tolerance",
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -182,6 +182,17 @@
     const auto* const read = std::get_if<daemon_settings>(&parsed);
     BOOST_TEST_REQUIRE(read != nullptr);
     BOOST_TEST((read->m_policy.m_overload == overload_policy::least_cost_if_learned));
+    BOOST_TEST((read->m_policy.m_route_ranking == route_ranking::off));
+}
+
+// Guards against a setting that is accepted and has no effect.
+BOOST_AUTO_TEST_CASE(routes_rank_requests_where_the_settings_say_so)
+{
+    const auto parsed = parse_settings(valid_settings + "route_ranks: if_learned\n", read_file);
+    const auto* const read = std::get_if<daemon_settings>(&parsed);
+    BOOST_TEST_REQUIRE(read != nullptr);
+    BOOST_TEST((read->m_policy.m_route_ranking == route_ranking::if_learned));
+    BOOST_TEST(faults_of(valid_settings + "route_ranks: best\n").size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(the_overload_policy_is_priority_unless_it_is_set)
