settings: Accept memory_limit_mb

Cause: nothing tells a process how much memory its machine has, so no budget can be kept. The process accepts it but doesn't use it yet. Result: test_libsettings passes, with a new case for the bounds and the default.

--- a/libraries/libsettings/daemon_settings.h
+++ b/libraries/libsettings/daemon_settings.h
@@ -40,7 +40,9 @@
     std::size_t m_max_head_size = 16'384; ///< Maximum size of the head of an HTTP message in bytes.
     std::size_t m_max_body_size = 1'048'576; ///< Maximum size of a body in bytes. A whole body is
                                              ///< held in memory.
-    std::size_t m_timeline_entries = 4'096;  ///< Number of events kept in the timeline.
+    std::size_t m_memory_limit_mb = 0; ///< Memory that the machine gives the process in MB; 0 means
+                                       ///< no limit. Accepted, but not in effect yet.
+    std::size_t m_timeline_entries = 4'096; ///< Number of events kept in the timeline.
     log_level m_log_level = log_level::info;
 };
 
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -16,6 +16,7 @@
 constexpr value_bounds<std::int64_t> port_bounds{1, 65'535};
 constexpr value_bounds<std::int64_t> head_size_bounds{1'024, 1'048'576};
 constexpr value_bounds<std::int64_t> body_size_bounds{0, 67'108'864};
+constexpr value_bounds<std::int64_t> memory_limit_bounds_mb{32, 65'536};
 constexpr value_bounds<std::int64_t> shutdown_bounds_ms{0, 3'600'000};
 constexpr value_bounds<double> termination_grace_bounds_s{0.1, 3600};
 
@@ -327,6 +328,7 @@
                             "store",
                             "seeds",
                             "limits",
+                            "memory_limit_mb",
                             "shutdown_limit_ms",
                             "shutdown_notice_ms",
                             "termination_grace_period_s",
@@ -366,6 +368,8 @@
     if (reader.has("limits")) {
         read_limits(reader.place_of("limits"), settings, faults);
     }
+    settings.m_memory_limit_mb =
+        static_cast<std::size_t>(reader.integer_or("memory_limit_mb", memory_limit_bounds_mb, 0));
     settings.m_policy.m_shutdown_limit = read_shutdown_limit(reader, settings.m_policy);
     settings.m_policy.m_watch_timeout = std::chrono::milliseconds{
         reader.integer_or("watch_timeout_ms", watch_timeout_bounds_ms,
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -186,6 +186,24 @@
                    .size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_memory_limit_is_optional_and_bounded)
+{
+    const auto limit_of = [](const std::string& line) {
+        const auto parsed = parse_settings(valid_settings + line, read_file);
+        const auto* const read = std::get_if<daemon_settings>(&parsed);
+        BOOST_TEST_REQUIRE((read != nullptr));
+        return read->m_memory_limit_mb;
+    };
+    BOOST_TEST(limit_of("") == 0U);
+    BOOST_TEST(limit_of("memory_limit_mb: 32\n") == 32U);
+    BOOST_TEST(limit_of("memory_limit_mb: 65536\n") == 65'536U);
+    for (const auto* const value : {"0", "31", "65537", "-1", "64.5", "64MB"}) {
+        const auto faults =
+            faults_of(fmt::format("{}memory_limit_mb: {}\n", valid_settings, value));
+        BOOST_TEST(faults.size() == 1U, value);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ports_may_be_given_with_an_ip_address)
 {
     const auto text = with_line(
