--- a/libraries/libsettings/daemon_settings.h
+++ b/libraries/libsettings/daemon_settings.h
@@ -42,6 +42,8 @@
                                              ///< held in memory.
     std::size_t m_timeline_entries = 4'096;  ///< Number of events kept in the timeline.
     log_level m_log_level = log_level::info;
+    /// Memory that the machine gives the process, in MB; 0 means that no memory budget applies.
+    std::size_t m_memory_limit_mb = 0;
 };
 
 } // namespace chivevane
--- a/libraries/libsettings/parse_settings.cpp
+++ b/libraries/libsettings/parse_settings.cpp
@@ -34,6 +34,7 @@
 constexpr value_bounds<double> cold_factor_bounds{1, 100};
 constexpr value_bounds<double> cold_slack_bounds{0, 1'000'000}; // requests
 constexpr value_bounds<std::int64_t> timeline_entry_bounds{16, 1'000'000};
+constexpr value_bounds<std::int64_t> memory_limit_bounds_mb{32, 65'536};
 constexpr std::size_t min_secret_size = 16; // bytes; shorter secrets can be guessed
 
 bool is_ip(const std::string& text)
@@ -340,7 +341,8 @@
                             "retries",
                             "cold_tolerance",
                             "rate_slack",
-                            "watch_timeout_ms"},
+                            "watch_timeout_ms",
+                            "memory_limit_mb"},
                            faults};
     read_identity(reader, settings);
     if (reader.has("ports")) {
@@ -376,6 +378,10 @@
         reader.integer_or("timeline_entries", timeline_entry_bounds,
                           static_cast<std::int64_t>(settings.m_timeline_entries)));
     settings.m_log_level = read_log_level(reader);
+    if (reader.has("memory_limit_mb")) {
+        settings.m_memory_limit_mb =
+            static_cast<std::size_t>(reader.integer("memory_limit_mb", memory_limit_bounds_mb));
+    }
     return settings;
 }
 
--- a/tests/libsettings/settings_test.cpp
+++ b/tests/libsettings/settings_test.cpp
@@ -211,4 +211,17 @@
     BOOST_TEST(read->m_operator_token.empty());
 }
 
+// Guards against a limit that is read in another unit, left out of its bounds, or set by default.
+BOOST_AUTO_TEST_CASE(the_memory_limit_is_a_whole_number_of_mb_and_absent_by_default)
+{
+    const auto limit_of = [](const std::string& text) {
+        return std::get<daemon_settings>(parse_settings(text, read_file)).m_memory_limit_mb;
+    };
+    BOOST_TEST(limit_of(valid_settings) == 0U);
+    BOOST_TEST(limit_of(valid_settings + "memory_limit_mb: 160\n") == 160U);
+    for (const auto* const wrong : {"31", "65537", "0", "1.5", "many"}) {
+        BOOST_TEST(faults_of(valid_settings + "memory_limit_mb: " + wrong + "\n").size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
