libhttp: Draw request bodies and unparsed input on the memory budget

Cause: a traffic server keeps each body that its callers announce, and has no limit on connections.

Change: a connection reserves the memory of a body before it keeps it, refuses a request without room with 503, and ends one that stalls with 408 for the benefit of another. Reading pauses where there is no memory for unparsed input. All connections share one read buffer. At the connection limit, one that is idle or stalled is closed. Writing and reading move to files of their own. Without a budget and a limit, requests are served as before.

--- a/libraries/libhttp/close_traffic_connection.cpp
+++ b/libraries/libhttp/close_traffic_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "libhttp/traffic_connection.h"
 
+#include <asio/post.hpp>
 #include <cerrno>
 #include <sys/socket.h>
 #include <utility>
@@ -23,6 +24,8 @@
     const auto self = shared_from_this();
     ++m_timer_epoch;
     m_timer.cancel();
+    m_pause_timer.cancel();
+    release_request();
     asio::error_code ignored; // The connection is abandoned even if closing it fails.
     m_socket.close(ignored);
     auto answers = std::exchange(m_pending_answers, {});
@@ -40,6 +43,11 @@
     m_context.m_on_closed(*this);
 }
 
+void traffic_connection::close_soon()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close_now(); });
+}
+
 void traffic_connection::close_if_idle()
 {
     if (is_idle()) {
@@ -52,7 +60,7 @@
     char next = 0;
     const auto size = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
     const bool is_waiting = size < 0 && (errno == EAGAIN || errno == EINTR);
-    if (size <= 0 && !is_waiting) {
+    if ((size <= 0 && !is_waiting) || (m_is_paused && has_peer_closed())) {
         close_now();
     }
     return m_is_closed;
@@ -64,6 +72,20 @@
            !m_is_receiving_request;
 }
 
+connection_activity traffic_connection::activity() const
+{
+    if (!m_writing.empty()) {
+        return {connection_phase::unread, m_last_output};
+    }
+    if (!m_pending_answers.empty()) {
+        return {connection_phase::busy, m_last_output};
+    }
+    if (m_has_stopped_parsing) {
+        return {connection_phase::ending, m_last_input};
+    }
+    return {is_idle() ? connection_phase::idle : connection_phase::receiving, m_last_input};
+}
+
 /// Shuts down the sending direction and drains the input before the socket is closed. Closing a
 /// socket with unread input sends a reset, which may discard the answer before the peer reads it.
 void traffic_connection::close_gracefully()
@@ -79,6 +101,7 @@
         }
     }
     m_pending_answers.clear();
+    release_request();
     asio::error_code ignored; // The peer may have closed the connection already.
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     drain_then_close();
--- a/libraries/libhttp/message_parser.cpp
+++ b/libraries/libhttp/message_parser.cpp
@@ -277,6 +277,13 @@
     return m_implementation->m_parser.m_head;
 }
 
+template <typename Head>
+std::optional<std::uint64_t> message_parser<Head>::content_length() const
+{
+    const auto length = m_implementation->m_parser.content_length();
+    return length ? std::optional<std::uint64_t>{*length} : std::nullopt;
+}
+
 template <typename Head>
 std::string message_parser<Head>::take_body()
 {
--- a/libraries/libhttp/message_parser.h
+++ b/libraries/libhttp/message_parser.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chivevane {
@@ -53,6 +54,10 @@
     /// Returns the head, which is complete once the state is `in_body` or `complete`.
     const Head& head() const;
 
+    /// Returns the length of the body that the Content-Length field states, or nothing if there is
+    /// no such field. It is known once the head is complete.
+    std::optional<std::uint64_t> content_length() const;
+
     /// Returns the body bytes parsed since the last call and removes them from the parser.
     std::string take_body();
 
--- a/libraries/libhttp/traffic_connection.cpp
+++ b/libraries/libhttp/traffic_connection.cpp
@@ -4,8 +4,8 @@
 #include "libhttp/traffic_server.h"
 
 #include <algorithm>
-#include <asio/write.hpp>
 #include <fmt/format.h>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -13,9 +13,11 @@
 
 namespace {
 
-/// The connection goes on reading while a request runs, up to this many unparsed bytes, so that it
-/// notices when the caller disconnects.
-constexpr std::size_t max_buffered_input = 256 * 1024;
+/// A complete body with the memory reserved for it.
+struct held_body {
+    std::string m_bytes;
+    memory_reservation m_reservation;
+};
 
 bool is_safe_method(std::string_view method)
 {
@@ -29,56 +31,23 @@
     : m_socket(std::move(socket)),
       m_context(context),
       m_timer(m_socket.get_executor()),
-      m_parser(context.m_options.m_limits)
+      m_parser(context.m_options.m_limits),
+      m_input_memory(context.m_options.m_memory),
+      m_body_memory(context.m_options.m_memory),
+      m_pause_timer(m_socket.get_executor()),
+      m_last_input(current_time()),
+      m_last_output(m_last_input)
 {
 }
 
 void traffic_connection::start()
 {
+    asio::error_code ignored; // A later read reports that the socket cannot be used.
+    m_socket.non_blocking(true, ignored);
     set_timer();
     read();
 }
 
-void traffic_connection::read()
-{
-    if (m_is_reading || m_is_closed || m_has_read_end || m_input.size() > max_buffered_input) {
-        return;
-    }
-    m_is_reading = true;
-    m_socket.async_read_some(
-        asio::buffer(m_buffer),
-        [self = shared_from_this()](const asio::error_code& problem, std::size_t size) {
-            self->m_is_reading = false;
-            if (self->m_is_closed) {
-                return;
-            }
-            if (problem) {
-                self->on_read_end();
-                return;
-            }
-            self->on_read(size);
-        });
-}
-
-void traffic_connection::on_read(std::size_t size)
-{
-    if (m_has_stopped_parsing) {
-        m_input.clear(); // Bytes after the last accepted request belong to no request.
-    }
-    else {
-        m_input.append(m_buffer.data(), size);
-        process_input();
-    }
-    read();
-}
-
-/// Handles the peer's close and read errors alike: nobody reads the pending answers any more.
-void traffic_connection::on_read_end()
-{
-    m_has_read_end = true;
-    close_now();
-}
-
 void traffic_connection::process_input()
 {
     while (!m_is_closed && !m_has_stopped_parsing) {
@@ -90,12 +59,14 @@
                 m_request_began_at = current_time();
             }
             m_parser.consume(m_input);
-            m_body += m_parser.take_body();
         }
         if (m_parser.state() == parse_state::failed) {
             refuse(m_parser.failure());
             break;
         }
+        if (!store_body()) {
+            break;
+        }
         if (m_parser.state() != parse_state::complete || !can_dispatch()) {
             break;
         }
@@ -134,8 +105,10 @@
         return;
     }
     answer.m_id = m_context.m_open_exchange(*this);
-    received_request request{answer.m_id, m_parser.head(),
-                             std::make_shared<const std::string>(std::exchange(m_body, {}))};
+    // The reservation lasts as long as the body, whose last owner may be a transfer.
+    const auto body =
+        std::make_shared<held_body>(held_body{std::exchange(m_body, {}), std::move(m_body_memory)});
+    received_request request{answer.m_id, m_parser.head(), {body, &body->m_bytes}};
     m_pending_answers.push_back(std::move(answer));
     m_parser = message_parser<request_head>{m_context.m_options.m_limits};
     m_context.m_on_request(std::move(request));
@@ -164,18 +137,20 @@
 
 /// Queues an error answer to a request that cannot be parsed, after which the connection closes.
 void traffic_connection::queue_error_answer(std::uint16_t status, std::string_view problem_type,
-                                            std::string_view title)
+                                            std::string_view title,
+                                            std::vector<http_field> more_fields)
 {
     m_has_stopped_parsing = true;
     m_is_receiving_request = false;
-    m_input.clear();
+    release_request();
     const auto body = fmt::format(R"({{"type":"urn:chivevane:problem:{}","title":"{}",)"
                                   R"("status":{},"outcome":"not-run"}})"
                                   "\n",
                                   problem_type, title, status);
-    const response_head head{status,
-                             {{"Content-Type", "application/problem+json"},
-                              {"Content-Length", std::to_string(body.size())}}};
+    response_head head{status,
+                       {{"Content-Type", "application/problem+json"},
+                        {"Content-Length", std::to_string(body.size())}}};
+    std::move(more_fields.begin(), more_fields.end(), std::back_inserter(head.m_fields));
     pending_answer answer;
     answer.m_use = connection_use::close;
     answer.m_output.push_back(
@@ -185,154 +160,6 @@
     write_pending_answers();
 }
 
-traffic_connection::pending_answer* traffic_connection::find(std::uint64_t exchange)
-{
-    const auto found =
-        std::find_if(m_pending_answers.begin(), m_pending_answers.end(),
-                     [exchange](const pending_answer& answer) { return answer.m_id == exchange; });
-    return found == m_pending_answers.end() ? nullptr : &*found;
-}
-
-void traffic_connection::respond(std::uint64_t exchange, const response_head& head,
-                                 std::string body)
-{
-    auto sized = head;
-    std::erase_if(sized.m_fields, [](const http_field& field) {
-        return equal_ignoring_case(field.m_name, "Content-Length");
-    });
-    sized.m_fields.push_back({"Content-Length", std::to_string(body.size())});
-    begin(exchange, sized);
-    if (!body.empty()) {
-        write(exchange, std::move(body), nullptr);
-    }
-    finish(exchange);
-}
-
-void traffic_connection::begin(std::uint64_t exchange, const response_head& head)
-{
-    auto* const answer = find(exchange);
-    if (answer == nullptr) {
-        return;
-    }
-    if (m_context.m_is_closing) {
-        // Pipelined requests that were dispatched after this one still get their answers, so only
-        // the last answer closes the connection.
-        answer->m_use = answer == &m_pending_answers.back() ? connection_use::close : answer->m_use;
-        m_has_stopped_parsing = true;
-    }
-    if (has_no_body(answer->m_method, head.m_status)) {
-        answer->m_framing = body_framing::none;
-    }
-    else {
-        answer->m_framing = content_length_of(head) ? body_framing::sized : body_framing::chunked;
-    }
-    answer->m_output.push_back({format_head(head, answer->m_framing, answer->m_use), nullptr});
-    write_pending_answers();
-}
-
-void traffic_connection::write(std::uint64_t exchange, std::string part,
-                               std::function<void(bool)> on_written)
-{
-    auto* const answer = find(exchange);
-    if (answer == nullptr) {
-        if (on_written) {
-            on_written(false);
-        }
-        return;
-    }
-    if (answer->m_framing == body_framing::chunked) {
-        part = part.empty() ? std::string{} : format_chunk(part);
-    }
-    else if (answer->m_framing == body_framing::none) {
-        part.clear();
-    }
-    answer->m_output.push_back({std::move(part), std::move(on_written)});
-    write_pending_answers();
-}
-
-void traffic_connection::finish(std::uint64_t exchange)
-{
-    auto* const answer = find(exchange);
-    if (answer == nullptr) {
-        return;
-    }
-    if (answer->m_framing == body_framing::chunked) {
-        answer->m_output.push_back({format_chunk({}), nullptr});
-    }
-    end_answer(*answer);
-}
-
-void traffic_connection::abort(std::uint64_t exchange)
-{
-    if (auto* const answer = find(exchange)) {
-        answer->m_is_aborted = true;
-        end_answer(*answer);
-    }
-}
-
-void traffic_connection::end_answer(pending_answer& answer)
-{
-    answer.m_is_finished = true;
-    m_context.m_on_exchange_end(answer.m_id);
-    write_pending_answers();
-}
-
-/// Writes the available output of the answers in the order of their requests, and removes answers
-/// that are complete.
-void traffic_connection::write_pending_answers()
-{
-    while (!m_is_closed && m_writing.empty() && !m_pending_answers.empty()) {
-        if (write_front_answer()) {
-            return;
-        }
-        auto& front = m_pending_answers.front();
-        if (!front.m_is_finished) {
-            return;
-        }
-        if (front.m_is_aborted) {
-            close_now();
-            return;
-        }
-        const auto use = front.m_use;
-        m_pending_answers.pop_front();
-        if (use == connection_use::close || (m_has_stopped_parsing && m_pending_answers.empty())) {
-            close_gracefully();
-            return;
-        }
-        process_input();
-        read();
-    }
-}
-
-/// Starts writing the output of the first answer. Returns false if there is none.
-bool traffic_connection::write_front_answer()
-{
-    auto& front = m_pending_answers.front();
-    if (front.m_output.empty()) {
-        return false;
-    }
-    m_writing = std::exchange(front.m_output, {});
-    std::vector<asio::const_buffer> buffers;
-    for (const auto& part : m_writing) {
-        buffers.emplace_back(asio::buffer(part.m_bytes));
-    }
-    asio::async_write(m_socket, buffers,
-                      [self = shared_from_this()](const asio::error_code& problem, std::size_t) {
-                          for (auto& part : std::exchange(self->m_writing, {})) {
-                              if (part.m_on_written) {
-                                  part.m_on_written(!problem);
-                              }
-                          }
-                          if (problem) {
-                              self->close_now();
-                              return;
-                          }
-                          self->write_pending_answers();
-                          self->set_timer();
-                      });
-    return true;
-}
-
 void traffic_connection::set_timer()
 {
     if (m_is_closed || m_has_stopped_parsing) {
--- a/libraries/libhttp/traffic_connection.h
+++ b/libraries/libhttp/traffic_connection.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "libbase/instant.h"
+#include "libhttp/answer_writer.h"
+#include "libhttp/connection_limit.h"
+#include "libhttp/memory_budget.h"
 #include "libhttp/message_parser.h"
 #include "libhttp/message_text.h"
 #include "libhttp/received_request.h"
 #include "libwire/response_head.h"
 
-#include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstddef>
@@ -14,7 +16,10 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace chivevane {
 
@@ -36,7 +41,8 @@
 };
 
 /// One connection of a `traffic_server`. It reads requests and writes their answers in order.
-class traffic_connection : public std::enable_shared_from_this<traffic_connection> {
+class traffic_connection : public answer_reader,
+                           public std::enable_shared_from_this<traffic_connection> {
 public:
     traffic_connection(asio::ip::tcp::socket socket, const traffic_connection_context& context);
 
@@ -52,6 +58,12 @@
     /// Returns whether the connection is closed.
     bool close_if_left();
 
+    /// Returns what the connection is doing, for the choice of a connection to close.
+    connection_activity activity() const;
+
+    std::optional<instant> waiting_since() const override;
+    void close_soon() override;
+
     void respond(std::uint64_t exchange, const response_head& head, std::string body);
     void begin(std::uint64_t exchange, const response_head& head);
     void write(std::uint64_t exchange, std::string part, std::function<void(bool)> on_written);
@@ -77,15 +89,25 @@
     };
 
     void read();
-    void on_read(std::size_t size);
+    void read_available();
+    void on_read(std::string_view bytes);
     void on_read_end();
+    std::size_t input_allowance();
+    void pause_reading();
+    bool has_peer_closed() const;
     void process_input();
+    bool store_body();
+    bool reserve_body(std::size_t size);
+    void evict_body();
+    void release_request();
     bool can_dispatch() const;
     void dispatch_request();
     void refuse(parse_error failure);
     void refuse_slow_request();
+    void refuse_for_memory(std::uint16_t status, std::string_view problem_type,
+                           std::string_view title);
     void queue_error_answer(std::uint16_t status, std::string_view problem_type,
-                            std::string_view title);
+                            std::string_view title, std::vector<http_field> more_fields = {});
     pending_answer* find(std::uint64_t exchange);
     void end_answer(pending_answer& answer);
     void write_pending_answers();
@@ -95,17 +117,23 @@
     void set_timer();
     void on_timer();
     bool is_idle() const;
+    bool is_memory_limited() const;
 
     asio::ip::tcp::socket m_socket;
     const traffic_connection_context& m_context;
     asio::steady_timer m_timer;
     message_parser<request_head> m_parser;
-    std::array<char, 16 * 1024> m_buffer{};
     std::string m_input;
+    memory_reservation m_input_memory; ///< For input beyond `unreserved_bytes`.
     std::deque<pending_answer> m_pending_answers;
     std::deque<output_part> m_writing;
     std::string m_body;
+    memory_reservation m_body_memory; ///< For the body that is being received, with its head.
+    asio::steady_timer m_pause_timer;
+    instant m_last_input;  ///< When bytes last arrived.
+    instant m_last_output; ///< When the peer last took bytes.
     bool m_is_reading = false;
+    bool m_is_paused = false; ///< Whether reading waits for memory.
     bool m_is_closed = false;
     bool m_has_stopped_parsing = false; ///< Whether further input is discarded.
     bool m_has_read_end = false;
--- a/libraries/libhttp/traffic_server.cpp
+++ b/libraries/libhttp/traffic_server.cpp
@@ -1,5 +1,7 @@
 #include "libhttp/traffic_server.h"
 
+#include "libbase/clock.h"
+#include "libhttp/connection_limit.h"
 #include "libhttp/tcp_options.h"
 #include "libhttp/traffic_connection.h"
 
@@ -109,15 +111,46 @@
                 self->schedule_accept_retry();
                 return;
             }
-            set_traffic_options(socket);
-            auto connection =
-                std::make_shared<traffic_connection>(std::move(socket), self->m_connection_context);
-            self->m_connections.insert(connection);
-            connection->start();
+            if (self->make_room_for_connection()) {
+                self->add_connection(std::move(socket));
+            }
             self->accept();
         });
     }
 
+    void add_connection(asio::ip::tcp::socket socket)
+    {
+        set_traffic_options(socket);
+        auto connection =
+            std::make_shared<traffic_connection>(std::move(socket), m_connection_context);
+        m_connections.insert(connection);
+        connection->start();
+    }
+
+    /// Closes a connection if the limit is reached. Returns false if none can be closed, so that
+    /// the new one must be.
+    bool make_room_for_connection()
+    {
+        if (m_options.m_max_connections == 0 ||
+            m_connections.size() < m_options.m_max_connections) {
+            return true;
+        }
+        if (m_options.m_memory) {
+            m_options.m_memory->record(memory_event::connection_closed);
+        }
+        const std::vector<std::shared_ptr<traffic_connection>> open{m_connections.begin(),
+                                                                    m_connections.end()};
+        std::vector<connection_activity> activities;
+        for (const auto& connection : open) {
+            activities.push_back(connection->activity());
+        }
+        const auto chosen = choose_connection_to_close(activities, current_time());
+        if (chosen) {
+            open[*chosen]->close_now();
+        }
+        return chosen.has_value();
+    }
+
     void schedule_accept_retry()
     {
         m_accept_timer.expires_after(accept_retry_delay);
@@ -237,6 +270,11 @@
     }
 }
 
+std::weak_ptr<answer_reader> traffic_server::reader_of(std::uint64_t exchange)
+{
+    return m_implementation->connection_of(exchange);
+}
+
 bool traffic_server::close_if_left(std::uint64_t exchange)
 {
     const auto connection = m_implementation->connection_of(exchange);
--- a/libraries/libhttp/traffic_server.h
+++ b/libraries/libhttp/traffic_server.h
@@ -2,6 +2,7 @@
 
 #include "libbase/instant.h"
 #include "libhttp/answer_writer.h"
+#include "libhttp/memory_budget.h"
 #include "libhttp/message_parser.h"
 #include "libhttp/received_request.h"
 
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace chivevane {
 
@@ -19,9 +21,14 @@
     std::string m_ip;
     std::uint16_t m_port = 0;
     message_limits m_limits;
-    duration m_head_timeout = 10s;   ///< From the first byte of a request to the end of its head.
-    duration m_idle_timeout = 75s;   ///< For a connection without a request or a stalled body.
-    std::size_t m_max_pipelined = 8; ///< The limit of unanswered requests on one connection.
+    duration m_head_timeout = 10s;     ///< From the first byte of a request to the end of its head.
+    duration m_idle_timeout = 75s;     ///< For a connection without a request or a stalled body.
+    std::size_t m_max_pipelined = 8;   ///< The limit of unanswered requests on one connection.
+    std::size_t m_max_connections = 0; ///< Open connections, see `connection_limit.h`; 0: no limit.
+    /// The memory that request bodies and unparsed input draw on; null means no budget.
+    std::shared_ptr<memory_budget> m_memory;
+    /// Returns fields to add to the refusal of a request for lack of memory; null adds none.
+    std::function<std::vector<http_field>(const request_head&)> m_refusal_fields;
 };
 
 /// An HTTP/1.1 server with a strict parser, which receives the requests of callers and hosts on an
@@ -65,6 +72,7 @@
                std::function<void(bool)> on_written) override;
     void finish(std::uint64_t exchange) override;
     void abort(std::uint64_t exchange) override;
+    std::weak_ptr<answer_reader> reader_of(std::uint64_t exchange) override;
     bool close_if_left(std::uint64_t exchange) override;
 
 private:
