libhost: Apply the memory limit to all listeners, with metrics and a log

Cause: the budget of libhttp is not connected to the process yet, and the listeners of readiness, metrics and announcements keep any body.

Change: with memory_limit_mb the listeners for callers and the gate share one budget and have connection limits by the limit of open files. The listeners built on RESTinio have smaller bodies and heads and a connection limit; readiness and metrics must be asked within 2 s and close after each answer. Freed large blocks return to the system. Counters and one log line a second for each kind of event show what was done.

--- a/libraries/libadmin/metrics_text.cpp
+++ b/libraries/libadmin/metrics_text.cpp
@@ -91,6 +91,31 @@
                          static_cast<double>(counters.m_resident_bytes));
 }
 
+/// Writes what the memory budget holds and did. Without a budget its capacity is 0.
+void write_memory(metrics_writer& writer, const host_counters& counters)
+{
+    const auto write = [&writer](std::string_view name, std::string_view type,
+                                 std::string_view help, std::uint64_t value) {
+        writer.single_sample(name, type, help, static_cast<double>(value));
+    };
+    write("memory_budget_bytes", "gauge", "Capacity of the memory budget; 0 without a budget.",
+          counters.m_memory_capacity_bytes);
+    write("memory_reserved_bytes", "gauge", "Bytes reserved from the memory budget.",
+          counters.m_memory_reserved_bytes);
+    write("memory_refused_bodies_total", "counter", "Requests refused for lack of memory.",
+          counters.m_refused_bodies);
+    write("memory_evicted_bodies_total", "counter",
+          "Requests that stalled and were ended for lack of memory.", counters.m_evicted_bodies);
+    write("memory_unbuffered_answers_total", "counter",
+          "Answers passed on early for lack of memory.", counters.m_unbuffered_answers);
+    write("memory_closed_readers_total", "counter",
+          "Connections closed as their reader took nothing while memory was short.",
+          counters.m_closed_readers);
+    write("connections_closed_at_limit_total", "counter",
+          "Connections closed at the connection limit of a listener.",
+          counters.m_closed_connections);
+}
+
 void write_configuration(metrics_writer& writer, const admin_view& view)
 {
     const auto& configuration = view.m_host_state.m_configuration;
@@ -158,6 +183,7 @@
 {
     metrics_writer writer;
     write_counters(writer, view.m_counters);
+    write_memory(writer, view.m_counters);
     write_configuration(writer, view);
     write_members(writer, view.m_host_state.m_membership);
     writer.single_sample("requests_in_progress", "gauge",
--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -1,15 +1,12 @@
 #include "libhost/host_process.h"
 
 #include "libadmin/answer_admin_request.h"
-#include "libadmin/metrics_text.h"
 #include "libbase/clock.h"
 #include "libbase/digest.h"
-#include "libbase/log_line.h"
 #include "libbase/result.h"
-#include "libdocument/parse_document.h"
 #include "libhost/caller_limits_in_force.h"
 #include "libhost/document_exchange.h"
-#include "libhost/process_usage.h"
+#include "libhost/listener_options.h"
 #include "libhost/run_loop.h"
 #include "libhost/shared_secret.h"
 #include "libpolicy/configuration/configuration.h"
@@ -34,14 +31,6 @@
     return settings;
 }
 
-/// Raises the body limit to the largest size of a document, even if bodies of callers are limited
-/// to less, so that an operator can submit any document.
-http_server_options admin_options(http_server_options options)
-{
-    options.m_max_body_size = std::max(options.m_max_body_size, max_document_size);
-    return options;
-}
-
 /// Lateness of a timer from which it is logged.
 constexpr duration logged_timer_lateness = 200ms;
 
@@ -55,48 +44,53 @@
 host_process::host_process(asio::io_context& loop, daemon_settings settings, platform_hooks hooks)
     : m_loop(loop),
       m_settings(with_incarnation(std::move(settings))),
+      m_memory(std::make_shared<memory_budget>(budget_capacity(m_settings.m_memory_limit_mb))),
       m_timer(loop),
       m_hooks(std::move(hooks)),
       m_client(loop),
       m_store(m_hooks.m_make_store(m_client, m_settings)),
       m_traffic_client(loop),
-      m_transfers(m_traffic_client, m_exchanges,
-                  [this](transfer_update update) { enqueue_transfer_update(std::move(update)); }),
+      m_transfers(
+          m_traffic_client, m_exchanges,
+          [this](transfer_update update) { enqueue_transfer_update(std::move(update)); }, m_memory),
       m_stop_timer(loop),
-      m_caller_server(loop, traffic_options(m_settings.m_policy.m_address.m_caller_port),
+      m_caller_server(loop, caller_options(m_settings, open_file_limit(), m_memory),
                       {[this](received_request request) {
                            on_request(listener_kind::caller, m_caller_server, std::move(request));
                        },
                        [this](exchange_id exchange) { on_disconnect(exchange); }},
                       m_last_exchange),
-      m_gate_server(loop, traffic_options(m_settings.m_policy.m_address.m_gate_port),
+      m_gate_server(loop, gate_options(m_settings, open_file_limit(), m_memory),
                     {[this](received_request request) {
                          on_request(listener_kind::gate, m_gate_server, std::move(request));
                      },
                      [this](exchange_id exchange) { on_disconnect(exchange); }},
                     m_last_exchange),
-      m_admin_server(loop,
-                     admin_options(listener_options(m_settings.m_policy.m_address.m_admin_port)),
+      m_admin_server(loop, admin_options(m_settings),
                      {[this](const received_request& request) { on_admin_request(request); },
                       [this](exchange_id exchange) { m_exchanges.erase(exchange); }},
                      m_last_exchange),
-      m_announce_server(loop, listener_options(m_settings.m_announce_port),
+      m_announce_server(loop, announcement_options(m_settings, open_file_limit()),
                         {[this](const received_request& request) { on_announcement(request); },
                          [](exchange_id) {}},
                         m_last_exchange),
-      m_ready_server(loop, listener_options(m_settings.m_readiness_port),
+      m_ready_server(loop, readiness_options(m_settings, open_file_limit()),
                      {[this](const received_request& request) { on_ready_request(request); },
                       [](exchange_id) {}},
                      m_last_exchange),
-      m_metrics_server(loop, listener_options(m_settings.m_metrics_port),
+      m_metrics_server(loop, metrics_options(m_settings, open_file_limit()),
                        {[this](const received_request& request) { on_metrics_request(request); },
                         [](exchange_id) {}},
                        m_last_exchange)
 {
     m_timeline.m_capacity = m_settings.m_timeline_entries;
+    m_memory->m_on_event = [this](memory_event event) { log_memory_event(event); };
 }
 
-host_process::~host_process() = default;
+host_process::~host_process()
+{
+    m_memory->m_on_event = nullptr; // Handlers that wait in the loop may share the budget.
+}
 
 void host_process::open()
 {
@@ -162,25 +156,6 @@
     enqueue(leave_requested{});
 }
 
-http_server_options host_process::listener_options(std::uint16_t port) const
-{
-    http_server_options options;
-    options.m_ip = m_settings.m_listen_ip;
-    options.m_port = port;
-    options.m_max_head_size = m_settings.m_max_head_size;
-    options.m_max_body_size = m_settings.m_max_body_size;
-    return options;
-}
-
-traffic_server_options host_process::traffic_options(std::uint16_t port) const
-{
-    traffic_server_options options;
-    options.m_ip = m_settings.m_listen_ip;
-    options.m_port = port;
-    options.m_limits = {m_settings.m_max_head_size, m_settings.m_max_body_size};
-    return options;
-}
-
 void host_process::on_request(listener_kind listener, traffic_server& server,
                               received_request request)
 {
@@ -240,15 +215,6 @@
                            is_ready ? "ready\n" : "not ready\n");
 }
 
-void host_process::on_metrics_request(const received_request& request)
-{
-    const auto counters = current_counters();
-    m_metrics_server.respond(request.m_exchange,
-                             {200, {{"Content-Type", "text/plain; version=0.0.4"}}},
-                             format_metrics({m_host_state, m_timeline, counters,
-                                             m_settings.m_operator_token, current_time()}));
-}
-
 void host_process::on_admin_request(const received_request& request)
 {
     const auto edit_id = random_hex(16);
@@ -344,7 +310,7 @@
     if (digest == std::exchange(m_limits_digest, digest)) {
         return;
     }
-    apply_caller_limits(m_caller_server, traffic_options(0),
+    apply_caller_limits(m_caller_server, caller_options(m_settings, 0, nullptr),
                         largest_caller_limits(m_host_state.m_configuration));
 }
 
@@ -399,30 +365,6 @@
     }
 }
 
-void host_process::count_answer(const pending_exchange& ended, std::uint16_t http_status)
-{
-    if (ended.m_server == &m_caller_server) {
-        ++m_counters.m_caller_answers[http_status];
-        m_counters.m_caller_latency.record(current_time() - ended.m_received_at);
-    }
-}
-
-host_counters host_process::current_counters() const
-{
-    auto counters = m_counters;
-    const auto datagrams = m_control_socket ? m_control_socket->counters() : control_counters{};
-    counters.m_datagrams_received = datagrams.m_received;
-    counters.m_datagrams_refused =
-        datagrams.m_dropped_malformed + datagrams.m_dropped_unauthenticated;
-    counters.m_datagrams_sent = datagrams.m_sent;
-    counters.m_datagram_bytes_sent = datagrams.m_sent_bytes;
-    counters.m_store_calls = m_store_calls;
-    const auto usage = measure_process_usage();
-    counters.m_processor_seconds = usage.m_processor_seconds;
-    counters.m_resident_bytes = usage.m_resident_bytes;
-    return counters;
-}
-
 hybrid_time host_process::next_timestamp()
 {
     m_last_timestamp = next_hybrid_time(m_last_timestamp, current_wall_ms());
--- a/libraries/libhost/host_process.h
+++ b/libraries/libhost/host_process.h
@@ -6,10 +6,12 @@
 #include "libhost/document_exchange.h"
 #include "libhost/exchange_table.h"
 #include "libhost/log_rate_limit.h"
+#include "libhost/memory_event_log.h"
 #include "libhost/platform_hooks.h"
 #include "libhost/transfer_runner.h"
 #include "libhttp/http_client.h"
 #include "libhttp/http_server.h"
+#include "libhttp/memory_budget.h"
 #include "libhttp/traffic_client.h"
 #include "libhttp/traffic_server.h"
 #include "libpolicy/event.h"
@@ -57,8 +59,6 @@
     void update_settings(const daemon_settings& settings);
 
 private:
-    http_server_options listener_options(std::uint16_t port) const;
-    traffic_server_options traffic_options(std::uint16_t port) const;
     void start_with_secret(std::string secret);
     void on_request(listener_kind listener, traffic_server& server, received_request request);
     void refuse_unhandled(exchange_id exchange);
@@ -96,6 +96,7 @@
     /// Counts an ended answer with its status and latency if it went to a caller.
     void count_answer(const pending_exchange& ended, std::uint16_t http_status);
     host_counters current_counters() const;
+    void log_memory_event(memory_event event);
     hybrid_time next_timestamp();
 
     asio::io_context& m_loop;
@@ -104,6 +105,8 @@
     timeline m_timeline;
     host_counters m_counters; ///< Without the values that `current_counters` adds.
     log_rate_limit m_log_rate_limit;
+    std::shared_ptr<memory_budget> m_memory;
+    memory_event_log m_memory_event_log;
     hybrid_time m_last_timestamp; ///< The last timestamp of the hybrid logical clock.
     exchange_table m_exchanges;
     document_answer_cache m_document_answers;
--- a/libraries/libhost/run_daemon.cpp
+++ b/libraries/libhost/run_daemon.cpp
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -117,6 +118,17 @@
     std::string m_text;
 };
 
+/// Blocks of at least this size are allocated by mmap.
+constexpr int mapped_block_size = 256 * 1024;
+
+/// Makes large blocks return to the system when they are freed. By default the threshold for
+/// separate mappings grows to the size of freed blocks, up to 32 MB, after which freed bodies stay
+/// in the heap and the resident memory exceeds what the memory budget counts.
+void return_freed_memory()
+{
+    mallopt(M_MMAP_THRESHOLD, mapped_block_size);
+}
+
 } // namespace
 
 int run_daemon(const std::string& settings_path, const platform_hooks& hooks)
@@ -128,6 +140,9 @@
         return exit_bad_settings;
     }
     FLAGS_minloglevel = static_cast<int>(std::get<daemon_settings>(settings).m_log_level);
+    if (std::get<daemon_settings>(settings).m_memory_limit_mb != 0) {
+        return_freed_memory();
+    }
     asio::io_context loop{1};
     try {
         host_process process{loop, std::get<daemon_settings>(std::move(settings)), hooks};
--- a/libraries/libhttp/http_server.cpp
+++ b/libraries/libhttp/http_server.cpp
@@ -49,6 +49,7 @@
     : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
                                        restinio::default_request_handler_t> {
     using connection_state_listener_t = connection_listener;
+    static constexpr bool use_connection_count_limiter = true;
 };
 
 using restinio_server = restinio::http_server_t<server_traits>;
@@ -160,6 +161,9 @@
         remove_from_connection(node.mapped().m_connection_id, id);
         auto builder = node.mapped().m_request->create_response(status_line_of(head));
         add_fields(builder, head);
+        if (m_options.m_closes_after_answer) {
+            builder.connection_close();
+        }
         builder.set_body(std::move(body));
         builder.done();
     }
@@ -245,9 +249,9 @@
         const auto head_size = m_options.m_max_head_size;
         restinio::incoming_http_msg_limits_t limits;
         limits.max_url_size(head_size)
-            .max_field_name_size(1024)
+            .max_field_name_size(m_options.m_max_field_name_size)
             .max_field_value_size(head_size)
-            .max_field_count(100)
+            .max_field_count(m_options.m_max_field_count)
             .max_body_size(m_options.m_max_body_size * max_read_body_factor);
         settings.address(m_options.m_ip)
             .port(m_options.m_port)
@@ -257,6 +261,7 @@
             .write_http_response_timelimit(m_options.m_write_timeout)
             .handle_request_timeout(unused_handler_timeout)
             .concurrent_accepts_count(4)
+            .max_parallel_connections(m_options.m_max_connections)
             .socket_options_setter([](restinio::socket_options_t& socket) {
                 socket.set_option(asio::ip::tcp::no_delay{true});
             })
--- a/libraries/libhttp/http_server.h
+++ b/libraries/libhttp/http_server.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,8 +23,16 @@
     std::uint16_t m_port = 0;
     std::size_t m_max_head_size = 32'768; ///< In bytes. A longer head closes the connection.
     std::size_t m_max_body_size = 8 * 1024 * 1024; ///< In bytes. Longer bodies get a 413 answer.
-    duration m_idle_timeout = 75s;  ///< The time that a connection may have no request.
+    std::size_t m_max_field_count = 100;
+    std::size_t m_max_field_name_size = 1'024; ///< In bytes.
+    /// The time that a connection may have no complete request.
+    duration m_idle_timeout = 75s;
     duration m_write_timeout = 60s; ///< The time limit of one write to a slow reader.
+    /// Connections at the same time; more of them wait to be accepted.
+    std::size_t m_max_connections = std::numeric_limits<std::size_t>::max();
+    /// Whether each answer closes its connection. A short `m_idle_timeout` could otherwise close a
+    /// connection just as its peer sends the next request.
+    bool m_closes_after_answer = false;
 };
 
 /// An HTTP/1.1 server on an Asio loop, built on RESTinio. All calls must be made from that loop.
