libhttp: Hold less memory outside the budget of a connection

Cause: trials with memory_limit_mb 64 peaked above it: 72 MiB with 200 chunked bodies of 1 MB, 72 and 79 MiB with heads of 4,000 fields. The parser of a refused request kept its head, a connection its input buffer, chunked bodies grew through the heap, and the blocks of large heads stayed in the heap.

Change: refused requests release their parser, the head is moved out of it, empty input buffers are released, chunked bodies beyond 16 KB allocate their whole capacity at once, and blocks from 128 KiB (before: 256 KiB) on are mapped. The administration has 4 connections instead of 8.

--- a/libraries/libhost/listener_options.cpp
+++ b/libraries/libhost/listener_options.cpp
@@ -23,8 +23,9 @@
 constexpr std::size_t small_listener_divisor = 64;
 constexpr std::size_t min_small_connections = 8;
 
-/// A connection of the administration API may hold a whole document.
-constexpr std::size_t max_admin_connections = 8;
+/// A connection of the administration API may hold twice the size of a document, as RESTinio reads
+/// longer bodies to answer them. Its memory is outside the budget.
+constexpr std::size_t max_admin_connections = 4;
 
 constexpr std::size_t max_announcement_size = 64 * 1024;
 constexpr std::size_t max_announcement_fields = 64;
--- a/libraries/libhost/run_daemon.cpp
+++ b/libraries/libhost/run_daemon.cpp
@@ -118,8 +118,9 @@
     std::string m_text;
 };
 
-/// Blocks of at least this size are allocated by mmap.
-constexpr int mapped_block_size = 256 * 1024;
+/// Blocks of at least this size are allocated by mmap. The parsed form of the largest head, of
+/// 4,000 fields, takes 256,000 bytes and must be among them.
+constexpr int mapped_block_size = 128 * 1024;
 
 /// Makes large blocks return to the system when they are freed. By default the threshold for
 /// separate mappings grows to the size of freed blocks, up to 32 MB, after which freed bodies stay
--- a/libraries/libhttp/message_parser.cpp
+++ b/libraries/libhttp/message_parser.cpp
@@ -277,6 +277,12 @@
     return m_implementation->m_parser.m_head;
 }
 
+template <typename Head>
+Head message_parser<Head>::take_head()
+{
+    return std::exchange(m_implementation->m_parser.m_head, {});
+}
+
 template <typename Head>
 std::optional<std::uint64_t> message_parser<Head>::content_length() const
 {
--- a/libraries/libhttp/message_parser.h
+++ b/libraries/libhttp/message_parser.h
@@ -54,6 +54,9 @@
     /// Returns the head, which is complete once the state is `in_body` or `complete`.
     const Head& head() const;
 
+    /// Returns the head, and leaves none in the parser.
+    Head take_head();
+
     /// Returns the length of the body that the Content-Length field states, or nothing if there is
     /// no such field. It is known once the head is complete.
     std::optional<std::uint64_t> content_length() const;
--- a/libraries/libhttp/read_traffic_connection.cpp
+++ b/libraries/libhttp/read_traffic_connection.cpp
@@ -118,6 +118,9 @@
         m_input += bytes;
         process_input();
     }
+    if (m_input.empty() && is_memory_limited()) {
+        std::string{}.swap(m_input); // Its capacity is counted only while it holds input.
+    }
 }
 
 /// Handles the peer's close and read errors alike: nobody reads the pending answers any more.
@@ -140,8 +143,7 @@
     if (!is_memory_limited()) {
         return read_size;
     }
-    if (m_input.empty() && m_input_memory.size() > 0) {
-        std::string{}.swap(m_input);
+    if (m_input.empty()) {
         m_input_memory.reset();
     }
     auto quota = unreserved_bytes + m_input_memory.size() / growth_factor;
@@ -222,9 +224,10 @@
     }
     if (body_memory > m_body.capacity()) {
         // The system provides the pages of a large block only as they are written, so the whole
-        // capacity of a chunked body can be allocated at once.
-        m_body.reserve(body_memory > max_small_holder ? std::max(body_memory, length ? 0 : max_size)
-                                                      : body_memory);
+        // capacity of a chunked body can be allocated at once. Growing it step by step would leave
+        // gaps in the heap that are not returned to the system.
+        const bool is_large_chunked = !length && size > small_body_step;
+        m_body.reserve(is_large_chunked ? std::max(body_memory, max_size) : body_memory);
     }
     return true;
 }
@@ -241,6 +244,7 @@
 {
     std::string{}.swap(m_input);
     std::string{}.swap(m_body);
+    m_parser = message_parser<request_head>{m_context.m_options.m_limits};
     m_input_memory.reset();
     m_body_memory.reset();
 }
--- a/libraries/libhttp/traffic_connection.cpp
+++ b/libraries/libhttp/traffic_connection.cpp
@@ -108,7 +108,7 @@
     // The reservation lasts as long as the body, whose last owner may be a transfer.
     const auto body =
         std::make_shared<held_body>(held_body{std::exchange(m_body, {}), std::move(m_body_memory)});
-    received_request request{answer.m_id, m_parser.head(), {body, &body->m_bytes}};
+    received_request request{answer.m_id, m_parser.take_head(), {body, &body->m_bytes}};
     m_pending_answers.push_back(std::move(answer));
     m_parser = message_parser<request_head>{m_context.m_options.m_limits};
     m_context.m_on_request(std::move(request));
