libhttp: Count bytes in the system as progress of a body

Cause: after a second without processor time all bodies seem to have stalled, and any of them could be ended with 408 for the benefit of a newcomer.

Change: a connection whose bytes wait to be read has progress now, both for evictions and at the connection limit.

--- a/libraries/libhttp/close_traffic_connection.cpp
+++ b/libraries/libhttp/close_traffic_connection.cpp
@@ -83,7 +83,7 @@
     if (m_has_stopped_parsing) {
         return {connection_phase::ending, m_last_input};
     }
-    return {is_idle() ? connection_phase::idle : connection_phase::receiving, m_last_input};
+    return {is_idle() ? connection_phase::idle : connection_phase::receiving, last_input()};
 }
 
 /// Shuts down the sending direction and drains the input before the socket is closed. Closing a
--- a/libraries/libhttp/read_traffic_connection.cpp
+++ b/libraries/libhttp/read_traffic_connection.cpp
@@ -182,6 +182,14 @@
     return ::poll(&state, 1, 0) > 0;
 }
 
+/// Returns when bytes last arrived. Bytes that the system holds count as arrived now, so that a
+/// peer does not seem to stall while the loop of this process is late.
+instant traffic_connection::last_input() const
+{
+    asio::error_code problem;
+    return m_socket.available(problem) > 0 ? current_time() : m_last_input;
+}
+
 /// Keeps the body bytes that were parsed. Returns false if the request was refused since there is
 /// no memory for it.
 bool traffic_connection::store_body()
@@ -220,7 +228,7 @@
             return false;
         }
         m_body_memory.set_evictable(
-            eviction_kind::stalled_body, [this] { return m_last_input; }, [this] { evict_body(); });
+            eviction_kind::stalled_body, [this] { return last_input(); }, [this] { evict_body(); });
     }
     if (body_memory > m_body.capacity()) {
         // The system provides the pages of a large block only as they are written, so the whole
--- a/libraries/libhttp/traffic_connection.h
+++ b/libraries/libhttp/traffic_connection.h
@@ -95,6 +95,7 @@
     std::size_t input_allowance();
     void pause_reading();
     bool has_peer_closed() const;
+    instant last_input() const;
     void process_input();
     bool store_body();
     bool reserve_body(std::size_t size);
--- a/tests/libhttp/misbehaving_caller_test.cpp
+++ b/tests/libhttp/misbehaving_caller_test.cpp
@@ -1,7 +1,9 @@
 #include "libhttp/misbehaving_caller_fixture.h"
 
+#include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
+#include <thread>
 
 using namespace chivevane;
 using namespace chivevane::test;
@@ -58,6 +60,20 @@
     BOOST_TEST(run_until_reserved(0));
 }
 
+// Guards against ending a body as stalled although its bytes wait for a loop that is late.
+BOOST_AUTO_TEST_CASE(a_body_whose_bytes_wait_in_the_system_has_not_stalled)
+{
+    auto& caller = send(head_of(600'000));
+    BOOST_TEST(run_until_reserved(600'000));
+    asio::write(caller.m_socket, asio::buffer(std::string(1000, 'x')));
+    std::this_thread::sleep_for(stalled_body_time + 100ms); // The loop does not run.
+    memory_reservation newcomer{m_memory};
+    BOOST_TEST(!newcomer.resize(600'000, current_time()));
+    run_for(stalled_body_time + 100ms);
+    BOOST_TEST(newcomer.resize(600'000, current_time()));
+    BOOST_TEST(m_memory->counters().m_evicted_bodies == 1U);
+}
+
 // Guards against a chunked body that is not counted, or for which the largest size is reserved.
 BOOST_AUTO_TEST_CASE(a_chunked_body_reserves_as_it_grows)
 {
