tests: Check the pause and the eviction of complete bodies sharply

Cause: changed code without the look for the peer's close, or with complete bodies left evictable, passed. The first case was ended by the head timeout, the second did not look at the counter. Change: the pause and the close have a case each, and the second looks for the counter and a 408.

--- a/tests/libhttp/misbehaving_caller_test.cpp
+++ b/tests/libhttp/misbehaving_caller_test.cpp
@@ -122,6 +122,8 @@
     BOOST_TEST(newcomer.m_received.starts_with("HTTP/1.1 503"));
     m_server.respond(m_requests.at(0).m_exchange, {200, {}}, "served");
     BOOST_TEST(run_until([&] { return caller.has_received("served"); }));
+    BOOST_TEST(m_memory->counters().m_evicted_bodies == 0U);
+    BOOST_TEST(!caller.has_received("408"));
 }
 
 // Guards against reservations that outlive a request that ends in any other way, which would end in
@@ -175,9 +177,8 @@
     BOOST_TEST(run_until_reserved(0));
 }
 
-// Guards against pipelined input that grows without memory, and against a caller whose close goes
-// unnoticed while its input is not read.
-BOOST_AUTO_TEST_CASE(reading_pauses_without_memory_and_the_callers_close_is_noticed)
+// Guards against pipelined input that grows without memory.
+BOOST_AUTO_TEST_CASE(reading_pauses_without_memory)
 {
     m_keeps_requests = true;
     auto& caller = send(head_of(0));
@@ -189,10 +190,24 @@
     BOOST_TEST(m_memory->reserved() == reserved);
     BOOST_TEST(!caller.m_output.empty()); // The server does not read on.
     BOOST_TEST(m_disconnected.empty());
-    asio::error_code ignored;
-    caller.m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-    caller.m_socket.close();
-    BOOST_TEST(run_until([&] { return !m_disconnected.empty(); }));
+}
+
+// Guards against a caller whose close goes unnoticed while its input is not read, so that its
+// request occupies an upstream for nothing.
+BOOST_AUTO_TEST_CASE(the_callers_close_is_noticed_while_reading_pauses)
+{
+    m_keeps_requests = true;
+    auto& caller = send(head_of(0));
+    BOOST_TEST(run_until([&] { return !m_requests.empty(); }));
+    reserve_everything();
+    // A second POST waits for the answer of the first one. Its bytes fit into the receive buffer.
+    caller.send(head_of(0) + std::string(40'000, 'x'));
+    run_for(200ms);
+    BOOST_TEST(caller.m_output.empty());
+    BOOST_TEST(m_disconnected.empty());
+    caller.m_socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    run_for(1s);
+    BOOST_TEST(m_disconnected.size() == 1U);
 }
 
 // Guards against a pause that does not end, so that a caller is never served.
