libhttp: Bound trailers, copies of heads, pipelined requests and slow probes

Cause: two copies of a head were counted where a request in progress holds more; trailers were read up to 256 KB and a connection that is not read counted as making progress; each of 100 connections had 8 requests in progress; a probe had 2 s, and 32 connections. Change: four copies; trailers and chunk headers beyond the limit of a head get 431; a paused connection makes no progress; pipelined requests wait while an eighth of the descriptors is in progress; 1 s and a twelfth of the descriptors for probes.

--- a/libraries/libhost/listener_options.cpp
+++ b/libraries/libhost/listener_options.cpp
@@ -19,10 +19,14 @@
 /// The parts of the descriptors that the small listeners may use. The rest, without the shares of
 /// callers and the gate, is for connections to upstreams, hosts and the store. The readiness
 /// listener has the largest part, since a check waits while slow senders use all its connections.
-constexpr std::size_t readiness_divisor = 16;
+constexpr std::size_t readiness_divisor = 12;
 constexpr std::size_t small_listener_divisor = 64;
 constexpr std::size_t min_small_connections = 8;
 
+/// The part of the descriptors that bounds the requests in progress while callers send further ones
+/// ahead. 100 connections with 8 requests each would take all 512 descriptors of a small process.
+constexpr std::size_t pipelining_divisor = 8;
+
 /// A connection of the administration API may hold twice the size of a document, as RESTinio reads
 /// longer bodies to answer them. Its memory is outside the budget.
 constexpr std::size_t max_admin_connections = 4;
@@ -38,7 +42,7 @@
 
 /// The time to receive a whole probe, which is sent in one piece. Slow senders thus hold their
 /// connections only briefly.
-constexpr duration probe_read_time = 2s;
+constexpr duration probe_read_time = 1s;
 constexpr duration probe_write_time = 5s;
 
 http_server_options common_options(const daemon_settings& settings, std::uint16_t port)
@@ -113,8 +117,12 @@
 traffic_server_options caller_options(const daemon_settings& settings, std::size_t descriptors,
                                       std::shared_ptr<memory_budget> memory)
 {
-    return traffic_options(settings, settings.m_policy.m_address.m_caller_port, descriptors / 2,
-                           std::move(memory));
+    auto options = traffic_options(settings, settings.m_policy.m_address.m_caller_port,
+                                   descriptors / 2, std::move(memory));
+    if (settings.m_memory_limit_mb != 0) {
+        options.m_max_pipelining_requests = part_of(descriptors, pipelining_divisor);
+    }
+    return options;
 }
 
 traffic_server_options gate_options(const daemon_settings& settings, std::size_t descriptors,
--- a/libraries/libhttp/memory_budget.h
+++ b/libraries/libhttp/memory_budget.h
@@ -123,9 +123,10 @@
     {
     }
     ~memory_reservation() { reset(); }
-    memory_reservation(memory_reservation&& other) noexcept
-        : m_budget(other.m_budget), m_id(std::exchange(other.m_id, 0))
+    /// The moved-from reservation is empty and keeps its budget, so that it can be used again.
+    memory_reservation(memory_reservation&& other) noexcept : memory_reservation(other.m_budget)
     {
+        m_id = std::exchange(other.m_id, 0);
     }
     memory_reservation& operator=(memory_reservation&& other) noexcept;
 
--- a/libraries/libhttp/message_parser.cpp
+++ b/libraries/libhttp/message_parser.cpp
@@ -226,6 +226,9 @@
         else if (is_request && m_body_size > m_limits.m_max_body_size) {
             fail(parse_error::body_too_large);
         }
+        else if (is_request && !m_parser.is_done() && input.size() > m_limits.m_max_head_size) {
+            fail(parse_error::head_too_large); // A chunk header or trailers without an end.
+        }
         else if (m_parser.is_done()) {
             m_state = parse_state::complete;
         }
--- a/libraries/libhttp/read_traffic_connection.cpp
+++ b/libraries/libhttp/read_traffic_connection.cpp
@@ -34,11 +34,14 @@
 constexpr std::size_t small_body_step = 16 * 1024;
 constexpr std::size_t large_body_step = 256 * 1024;
 
+/// The copies of a head that a request in progress holds: those of the received request, the
+/// exchange, the request of the ingress or attempt of the gate, and its transfer.
+constexpr std::size_t head_copies = 4;
+
 /// Returns the memory that a parsed head takes if it has very many fields, or 0 for other heads.
-/// Two copies are counted: that of the received request and that of the exchange.
 std::size_t memory_of_fields(const request_head& head)
 {
-    const auto size = 2 * head.m_fields.size() * sizeof(http_field);
+    const auto size = head_copies * head.m_fields.size() * sizeof(http_field);
     return size > unreserved_bytes ? size : 0;
 }
 
@@ -183,11 +186,12 @@
 }
 
 /// Returns when bytes last arrived. Bytes that the system holds count as arrived now, so that a
-/// peer does not seem to stall while the loop of this process is late.
+/// peer does not seem to stall while the loop of this process is late. They do not while reading is
+/// paused, as such a connection makes no progress whatever its peer sends.
 instant traffic_connection::last_input() const
 {
     asio::error_code problem;
-    return m_socket.available(problem) > 0 ? current_time() : m_last_input;
+    return !m_is_paused && m_socket.available(problem) > 0 ? current_time() : m_last_input;
 }
 
 /// Keeps the body bytes that were parsed. Returns false if the request was refused since there is
--- a/libraries/libhttp/traffic_connection.cpp
+++ b/libraries/libhttp/traffic_connection.cpp
@@ -80,7 +80,8 @@
     if (m_pending_answers.empty()) {
         return true;
     }
-    return m_pending_answers.size() < m_context.m_options.m_max_pipelined &&
+    return m_context.m_may_pipeline() &&
+           m_pending_answers.size() < m_context.m_options.m_max_pipelined &&
            m_pending_answers.back().m_use == connection_use::keep &&
            is_safe_method(m_parser.head().m_method);
 }
--- a/libraries/libhttp/traffic_connection.h
+++ b/libraries/libhttp/traffic_connection.h
@@ -38,6 +38,8 @@
     /// Called when the exchange has ended for any reason, so that its id is not used any more.
     std::function<void(std::uint64_t)> m_on_exchange_end;
     std::function<void(traffic_connection&)> m_on_closed;
+    /// Whether a connection that awaits an answer may start another request now.
+    std::function<bool()> m_may_pipeline;
 };
 
 /// One connection of a `traffic_server`. It reads requests and writes their answers in order.
--- a/libraries/libhttp/traffic_server.cpp
+++ b/libraries/libhttp/traffic_server.cpp
@@ -41,7 +41,8 @@
               [this](received_request request) { m_handlers.m_on_request(std::move(request)); },
               [this](std::uint64_t exchange) { post_disconnect(exchange); },
               [this](std::uint64_t exchange) { m_connection_by_exchange.erase(exchange); },
-              [this](traffic_connection& connection) { remove_connection(connection); }}
+              [this](traffic_connection& connection) { remove_connection(connection); },
+              [this] { return may_pipeline(); }}
     {
     }
 
@@ -141,6 +142,7 @@
         const std::vector<std::shared_ptr<traffic_connection>> open{m_connections.begin(),
                                                                     m_connections.end()};
         std::vector<connection_activity> activities;
+        activities.reserve(open.size());
         for (const auto& connection : open) {
             activities.push_back(connection->activity());
         }
@@ -161,6 +163,12 @@
         });
     }
 
+    bool may_pipeline() const
+    {
+        return m_options.m_max_pipelining_requests == 0 ||
+               m_connection_by_exchange.size() < m_options.m_max_pipelining_requests;
+    }
+
     std::uint64_t open_exchange(traffic_connection& connection)
     {
         const auto id = ++m_last_exchange;
--- a/libraries/libhttp/traffic_server.h
+++ b/libraries/libhttp/traffic_server.h
@@ -21,9 +21,13 @@
     std::string m_ip;
     std::uint16_t m_port = 0;
     message_limits m_limits;
-    duration m_head_timeout = 10s;     ///< From the first byte of a request to the end of its head.
-    duration m_idle_timeout = 75s;     ///< For a connection without a request or a stalled body.
-    std::size_t m_max_pipelined = 8;   ///< The limit of unanswered requests on one connection.
+    duration m_head_timeout = 10s;   ///< From the first byte of a request to the end of its head.
+    duration m_idle_timeout = 75s;   ///< For a connection without a request or a stalled body.
+    std::size_t m_max_pipelined = 8; ///< The limit of unanswered requests on one connection.
+    /// The number of requests in progress on all connections from which pipelined ones wait for the
+    /// answers before them; 0 means no limit. Each request in progress takes up to three further
+    /// descriptors: to a gate, at the gate and to an upstream.
+    std::size_t m_max_pipelining_requests = 0;
     std::size_t m_max_connections = 0; ///< Open connections, see `connection_limit.h`; 0: no limit.
     /// The memory that request bodies and unparsed input draw on; null means no budget.
     std::shared_ptr<memory_budget> m_memory;
--- a/tests/libhttp/misbehaving_caller_test.cpp
+++ b/tests/libhttp/misbehaving_caller_test.cpp
@@ -234,4 +234,24 @@
     BOOST_TEST(run_until_reserved(0));
 }
 
+// Guards against trailers without an end, which held all connections of callers for as long as the
+// idle timeout.
+BOOST_AUTO_TEST_CASE(trailers_beyond_the_limit_of_a_head_are_refused)
+{
+    auto& caller = send(chunked_head + chunk(10) + "0\r\n");
+    for (int part = 0; part < 20 && !caller.m_has_ended; ++part) {
+        std::string fields;
+        while (fields.size() < 4096) {
+            fields += "a:b\r\n";
+        }
+        asio::error_code ignored; // The server may have closed the connection already.
+        asio::write(caller.m_socket, asio::buffer(fields), ignored);
+        run_for(10ms);
+    }
+    BOOST_TEST(run_until([&] { return caller.m_has_ended; }));
+    BOOST_TEST(caller.m_received.starts_with("HTTP/1.1 431"));
+    BOOST_TEST(m_request_count == 0U);
+    BOOST_TEST(run_until_reserved(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
