--- a/libraries/libhttp/memory_budget.cpp
+++ b/libraries/libhttp/memory_budget.cpp
@@ -125,6 +125,9 @@
 void memory_budget::release(std::uint64_t id)
 {
     const auto found = m_holders.find(id);
+    if (found == m_holders.end()) {
+        return; // The holder ended while others were evicted for it.
+    }
     m_reserved -= found->second.m_bytes;
     m_holders.erase(found);
 }
