tests: Compare priority with the admission of the present limit

Change: the copy has the estimate that stood before load shedding, and both bases of the limit are compared.

--- a/tests/libpolicy/load_shedding_gate_test.cpp
+++ b/tests/libpolicy/load_shedding_gate_test.cpp
@@ -169,6 +169,7 @@
         const bool is_learned = seed % 2 == 0;
         const auto slots = 1 + random(6);
         for (auto& state : states) {
+            state.m_limit_basis = seed % 4 < 2 ? limit_basis::answers : limit_basis::announcement;
             admission::set_upstream(state, "e", slots, warm_up_state::warm,
                                     admission::announced_run::new_run, now);
             if (!is_learned) {
--- a/tests/libpolicy/priority_reference.cpp
+++ b/tests/libpolicy/priority_reference.cpp
@@ -302,7 +302,7 @@
     const auto ahead =
         static_cast<std::int64_t>(reference_count_ahead(upstream.m_queue, flow_of(attempt), now));
     const auto wait_by_rate = time_for_starts(upstream.m_accepted_rate, ahead);
-    if (is_rate_limited(upstream) || upstream.m_announced == warm_up_state::warm) {
+    if (is_rate_limited(upstream) || upstream.m_limit.m_announced == warm_up_state::warm) {
         const auto mean = from_seconds(upstream.m_mean_run_s);
         const auto own = attempt.m_expected_run == duration{} ? mean : attempt.m_expected_run;
         const duration wait = mean * (ahead + 1) / concurrency_of(upstream);
