libhost: Bound the requests that run on an upstream by the descriptors

Cause: callers' connections, those to gates, at gates and to upstreams were bounded one by one, but an upstream that announces 1,000 slots got as many connections as requests were in progress. Change: a sixteenth of the descriptors bounds the slots of an upstream and the requests in progress beyond which pipelined ones wait (256 at 4,100 descriptors).

--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -196,7 +196,9 @@
     }
     auto answer = m_hooks.m_read_announcement(request);
     // The answer commits this host to the announcement, so the announcement is applied first.
+    const auto max_slots = max_upstream_slots(m_settings, open_file_limit());
     for (auto& announcement : answer.m_announcements) {
+        announcement.m_slots = std::min(announcement.m_slots, max_slots);
         handle(std::move(announcement));
     }
     set_timer();
--- a/libraries/libhost/listener_options.cpp
+++ b/libraries/libhost/listener_options.cpp
@@ -5,6 +5,7 @@
 #include "libwire/attempt_metadata.h"
 
 #include <algorithm>
+#include <limits>
 #include <sys/resource.h>
 #include <utility>
 
@@ -24,8 +25,9 @@
 constexpr std::size_t min_small_connections = 8;
 
 /// The part of the descriptors that bounds the requests in progress while callers send further ones
-/// ahead. 100 connections with 8 requests each would take all 512 descriptors of a small process.
-constexpr std::size_t pipelining_divisor = 8;
+/// ahead, and those that run on an upstream. 100 connections with 8 requests each would take all
+/// 512 descriptors of a small process.
+constexpr std::size_t in_progress_divisor = 16;
 
 /// A connection of the administration API may hold twice the size of a document, as RESTinio reads
 /// longer bodies to answer them. Its memory is outside the budget.
@@ -120,7 +122,7 @@
     auto options = traffic_options(settings, settings.m_policy.m_address.m_caller_port,
                                    descriptors / 2, std::move(memory));
     if (settings.m_memory_limit_mb != 0) {
-        options.m_max_pipelining_requests = part_of(descriptors, pipelining_divisor);
+        options.m_max_pipelining_requests = part_of(descriptors, in_progress_divisor);
     }
     return options;
 }
@@ -134,6 +136,13 @@
     return options;
 }
 
+std::uint32_t max_upstream_slots(const daemon_settings& settings, std::size_t descriptors)
+{
+    return settings.m_memory_limit_mb == 0
+               ? std::numeric_limits<std::uint32_t>::max()
+               : static_cast<std::uint32_t>(part_of(descriptors, in_progress_divisor));
+}
+
 http_server_options admin_options(const daemon_settings& settings)
 {
     auto options = common_options(settings, settings.m_policy.m_address.m_admin_port);
--- a/libraries/libhost/listener_options.h
+++ b/libraries/libhost/listener_options.h
@@ -6,6 +6,7 @@
 #include "libsettings/daemon_settings.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 /// The limits of the listeners of a host. Connection limits, and the limits of the small listeners,
@@ -23,6 +24,10 @@
 traffic_server_options gate_options(const daemon_settings& settings, std::size_t descriptors,
                                     std::shared_ptr<memory_budget> memory);
 
+/// Returns how many requests may run at once on an upstream of this host, so that the connections
+/// to it leave descriptors for others.
+std::uint32_t max_upstream_slots(const daemon_settings& settings, std::size_t descriptors);
+
 /// Returns the options of the administration API. Its bodies may have the largest size of a
 /// document, even if bodies of callers are limited to less, so that an operator can submit any
 /// document.
--- a/tests/libhost/memory_limit_test.cpp
+++ b/tests/libhost/memory_limit_test.cpp
@@ -9,6 +9,7 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <list>
 #include <sys/resource.h>
 
@@ -214,4 +215,14 @@
     BOOST_TEST(count_memory_event(log, memory_event::body_refused, now + 1s) == 51U);
 }
 
+// Guards against an upstream with very many slots whose connections take all descriptors.
+BOOST_AUTO_TEST_CASE(slots_of_an_upstream_leave_descriptors_for_others)
+{
+    daemon_settings settings;
+    BOOST_TEST(max_upstream_slots(settings, 512) == std::numeric_limits<std::uint32_t>::max());
+    settings.m_memory_limit_mb = 64;
+    BOOST_TEST(max_upstream_slots(settings, 512) == 32U);
+    BOOST_TEST(max_upstream_slots(settings, 4'100) == 256U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
