--- a/tests/libpolicy/change_delay_test.cpp
+++ b/tests/libpolicy/change_delay_test.cpp
@@ -1,16 +1,9 @@
-#include "libbase/digest.h"
-#include "libdocument/parse_document.h"
-#include "libpolicy/configuration/document_record.h"
-#include "libpolicy/configuration/document_transfer.h"
-#include "libpolicy/configuration/document_write.h"
-#include "libpolicy/configuration/store_reader.h"
+#include "libpolicy/change_delay_fixture.h"
 #include "libpolicy/count_from_environment.h"
-#include "libpolicy/fleet_fixture.h"
 #include "libpolicy/host_fixture.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <fmt/format.h>
 #include <string>
 #include <vector>
 
@@ -20,87 +13,13 @@
 
 namespace {
 
-const std::string document_name = "blackmorass";
-constexpr std::size_t host_count = 82;
-
 /// The time in which a change has to be in force on all hosts that work normally.
 constexpr duration apply_limit = 2s;
 
 /// The time after the end of an outage within which earlier changes have to be in force.
 constexpr duration calm_period = 3s;
 
-/// Hosts with the settings of platform/settings.yaml.template, whose documents are written by
-/// somebody else than the hosts.
-fleet make_fleet(std::uint64_t seed)
-{
-    fleet hosts{host_count, seed};
-    for (auto& each : hosts.m_hosts) {
-        auto& settings = each.m_settings;
-        settings.m_unconfirmed_documents_policy = unconfirmed_documents_policy::serve;
-        settings.m_rate_mode = rate_mode::metered;
-        settings.m_placement = placement_mode::probing;
-        settings.m_watch_timeout = 8s;
-        settings.m_gossip.m_round_interval = 1s;
-        settings.m_gossip.m_gossip_fanout = 2;
-        settings.m_gossip.m_probe_fanout = 1;
-    }
-    return hosts;
-}
-
-/// Writes a new revision to the store without any host taking part.
-void publish(fleet& hosts, std::uint64_t revision)
-{
-    const stored_document document{
-        document_name, revision, "edit-" + std::to_string(revision), sample_document(), {}};
-    const auto written = hosts.m_store.write(store_compare_and_swap{
-        configuration::store_key(document_name), revision - 1, encode_document_record(document)});
-    BOOST_TEST_REQUIRE(std::holds_alternative<store_written>(written));
-}
-
-/// A document with as many routes and organisations as the largest deployments have.
-std::string long_document(std::uint64_t revision)
-{
-    std::string text = "document: blackmorass\norganisations:\n";
-    for (int number = 0; number < 190; ++number) {
-        text += fmt::format("  - name: parish-{0}\n    rate: 30\n    burst: 30\n    keys:\n"
-                            "      - {{name: key-1, digest: {1}}}\n",
-                            number, sha256_hex(std::to_string(number)));
-    }
-    text += "services:\n  - name: herdbook\n    floor: 0.5\nroutes:\n";
-    for (int number = 0; number < 1400; ++number) {
-        text += fmt::format("  - name: route-{0}\n    host: ravo{1}.example\n"
-                            "    path_prefix: /{2}/\n    service: herdbook\n    idempotent: true\n"
-                            "    priority: 2\n    timeout_ms: {3}\n    attempts: 2\n",
-                            number, number % 80, sha256_hex(std::to_string(number)).substr(0, 8),
-                            6000 + revision);
-    }
-    return text;
-}
-
-/// Writes a revision of `long_document` as the adapter to the platform does, with the parsed form.
-void publish_long_document(fleet& hosts, std::uint64_t revision)
-{
-    const stored_document stored{
-        document_name, revision, "edit-" + std::to_string(revision), long_document(revision), {}};
-    const auto parsed_document = parse_document(stored.m_text);
-    BOOST_TEST_REQUIRE(!is_error(parsed_document));
-    const auto written = hosts.m_store.write(
-        store_compare_and_swap{configuration::store_key(document_name), revision - 1,
-                               encode_document_transfer(stored, value_of(parsed_document))});
-    BOOST_TEST_REQUIRE(std::holds_alternative<store_written>(written));
-}
-
-std::vector<std::size_t> watchers(const fleet& hosts)
-{
-    std::vector<std::size_t> found;
-    for (std::size_t index = 0; index < host_count; ++index) {
-        if (configuration::is_watcher(hosts.state_of(index).m_configuration,
-                                      hosts.state_of(index).m_membership)) {
-            found.push_back(index);
-        }
-    }
-    return found;
-}
+constexpr std::size_t host_count = 82;
 
 /// Lets `announcer` learn of changes a little before the other watchers.
 void let_learn_first(fleet& hosts, std::size_t announcer)
@@ -110,21 +29,10 @@
     };
 }
 
-/// Returns the number of running hosts with an older revision than `revision`.
-std::size_t count_late(const fleet& hosts, std::uint64_t revision)
-{
-    std::size_t late = 0;
-    for (std::size_t index = 0; index < host_count; ++index) {
-        const bool is_late = hosts.is_up(index) && hosts.revision(index, document_name) < revision;
-        late += is_late ? 1 : 0;
-    }
-    return late;
-}
-
 /// A fleet that has had the first revision in force for some time.
 fleet running_fleet(std::uint64_t seed)
 {
-    auto hosts = make_fleet(seed);
+    auto hosts = make_platform_fleet(host_count, seed);
     publish(hosts, 1);
     hosts.start_all();
     hosts.run_for(12s);
@@ -257,7 +165,7 @@
     constexpr std::uint64_t change_count = 12;
     constexpr auto steps_per_limit =
         static_cast<std::uint64_t>(large_apply_limit / change_interval);
-    auto hosts = make_fleet(1);
+    auto hosts = make_platform_fleet(host_count, 1);
     hosts.m_document_costs = document_costs{1.5e6, 0.3e6};
     publish_long_document(hosts, 1);
     hosts.start_all();
