--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -23,6 +23,9 @@
  "tenants":{"parish":{"api-keys":["k1","k2"],"priority":1,"rate-per-s":30,"burst":30},
   "free":{"api-keys":["k3"]}}})";
 
+const std::string other_configuration =
+    R"({"version":"r8","routes":{"r":{"prefix":"/","service":"s"}},"services":{"s":{}}})";
+
 store_entry item(const std::string& key, const std::string& value, std::uint64_t revision)
 {
     return {key, value, revision};
@@ -154,4 +157,42 @@
     BOOST_TEST(decode(document_entry(view, 0, 70)).m_revision == 70U);
 }
 
+/// Guards against two documents of one revision, of which hosts keep the one with the removed key.
+BOOST_AUTO_TEST_CASE(a_removal_read_together_with_a_newer_change_gives_a_later_revision)
+{
+    const std::vector<store_entry> items{item("op/config", configuration, 12),
+                                         item("op/evacuate/south", "{}", 50)};
+    const auto change = item("op/config", other_configuration, 60);
+    operator_view watching;
+    replace_items(watching, items);
+    document_entry(watching, 0, 55);
+    apply_changes(watching, {change});
+    const auto before_removal = decode(document_entry(watching, 60, 60));
+
+    operator_view reading;
+    replace_items(reading, items);
+    document_entry(reading, 0, 55);
+    replace_items(reading, {change});
+    const auto after_removal = decode(document_entry(reading, 0, 70));
+
+    BOOST_TEST(before_removal.m_text != after_removal.m_text);
+    BOOST_TEST(after_removal.m_revision > before_removal.m_revision);
+}
+
+/// Guards against the same where the reader never knew the removed key, as after its start.
+BOOST_AUTO_TEST_CASE(a_removal_before_the_first_read_is_learned_from_the_first_watch)
+{
+    operator_view view;
+    replace_items(view, {item("op/config", configuration, 60)});
+    const auto first = decode(document_entry(view, 0, 70));
+    BOOST_TEST(first.m_revision == 60U);
+    BOOST_TEST(first_watch_revision(view, 70) == 60U);
+
+    apply_changes(view, {item("op/evacuate/south", "", 0)});
+    const auto after_removal = decode(document_entry(view, 65, 70));
+    BOOST_TEST(after_removal.m_revision == 65U);
+    BOOST_TEST(after_removal.m_text == first.m_text);
+    BOOST_TEST(first_watch_revision(operator_view{}, 70) == 70U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
