libhttp: End a transfer whose answer has an invalid status code

Cause: both clients took each status below 200 for an interim answer and waited for another, and each from 200 on for a final one. The curl client dropped the line of a status 000. The class: a range taken for granted where a peer in trouble writes the number. Change: response_kind_of decides for both clients and the gate: 200 to 599 are final; 100, 102 and 103 are followed by another answer; all others, 101 among them, are no answer to what this project sends. The transfer then ends as a lost connection, so the upstream counts as failing and its connection is closed; the request may have run. The gate refuses such a status by itself too.

--- a/libraries/libhttp/curl_transfer.cpp
+++ b/libraries/libhttp/curl_transfer.cpp
@@ -2,6 +2,7 @@
 
 #include "libbase/clock.h"
 #include "libhttp/tcp_options.h"
+#include "libwire/status_code.h"
 
 #include <algorithm>
 #include <cassert>
@@ -19,11 +20,13 @@
 /// is closing.
 constexpr long max_idle_connection_age_s = 20;
 
-/// Returns the status code of a status line such as `HTTP/1.1 200 OK`, or 0 for any other line.
+constexpr std::string_view status_line_start = "HTTP/";
+
+/// Returns the status code of a status line such as `HTTP/1.1 200 OK`, or 0 if it has none.
 std::uint16_t parse_status(std::string_view line)
 {
     std::uint16_t status = 0;
-    if (line.starts_with("HTTP/") && line.size() >= 12) {
+    if (line.size() >= 12) {
         std::from_chars(line.data() + 9, line.data() + 12, status);
     }
     return status;
@@ -45,13 +48,20 @@
     auto& transfer = *static_cast<curl_transfer*>(user);
     std::string_view line{data, size * count};
     line = line.substr(0, line.find_last_not_of("\r\n") + 1);
-    if (const auto status = parse_status(line); status != 0) {
-        transfer.m_head = {status, {}};
+    if (transfer.m_has_head) {
+        return size * count; // A trailer field.
+    }
+    if (line.starts_with(status_line_start)) {
+        transfer.m_head = {parse_status(line), {}};
     }
-    else if (!line.empty() && !transfer.m_has_head && line.find(':') != std::string_view::npos) {
+    else if (line.find(':') != std::string_view::npos) {
         transfer.m_head.m_fields.push_back(parse_field(line));
     }
-    else if (line.empty() && transfer.m_head.m_status >= 200 && !transfer.m_has_head) {
+    const auto kind = response_kind_of(transfer.m_head.m_status);
+    if (kind == response_kind::invalid) {
+        return CURL_WRITEFUNC_ERROR;
+    }
+    if (line.empty() && kind == response_kind::final) {
         transfer.m_has_head = true;
         transfer.m_last_progress = current_time();
         transfer.m_handlers.m_on_head(transfer.m_head);
--- a/libraries/libhttp/outgoing_connection.cpp
+++ b/libraries/libhttp/outgoing_connection.cpp
@@ -3,6 +3,7 @@
 #include "libbase/clock.h"
 #include "libhttp/message_text.h"
 #include "libhttp/tcp_options.h"
+#include "libwire/status_code.h"
 
 #include <algorithm>
 #include <asio/write.hpp>
@@ -65,6 +66,12 @@
     m_is_request_written = false;
     m_has_written_any = false;
     m_last_progress = current_time();
+    start_parsing();
+}
+
+/// Expects the head of an answer next.
+void outgoing_connection::start_parsing()
+{
     m_parser.emplace(answer_limits, m_request.m_head.m_method == "HEAD"
                                         ? body_expectation::never
                                         : body_expectation::by_framing);
@@ -183,12 +190,10 @@
 {
     const auto epoch = m_epoch;
     m_parser->consume(m_input);
-    const bool is_interim =
-        m_parser->state() == parse_state::complete && m_parser->head().m_status < 200;
+    const bool is_interim = m_parser->state() == parse_state::complete &&
+                            response_kind_of(m_parser->head().m_status) == response_kind::interim;
     if (is_interim) {
-        m_parser.emplace(answer_limits, m_request.m_head.m_method == "HEAD"
-                                            ? body_expectation::never
-                                            : body_expectation::by_framing);
+        start_parsing();
         parse_input();
         return;
     }
@@ -217,14 +222,18 @@
     if (m_has_reported_head) {
         return true;
     }
-    if (m_parser->state() == parse_state::in_head || m_parser->state() == parse_state::failed) {
-        if (m_parser->state() == parse_state::failed) {
-            fail(transfer_end::connection_lost, "the answer is not valid HTTP/1.1");
-            return false;
-        }
+    if (m_parser->state() == parse_state::in_head) {
         read();
         return false;
     }
+    if (m_parser->state() == parse_state::failed) {
+        fail(transfer_end::connection_lost, "the answer is not valid HTTP/1.1");
+        return false;
+    }
+    if (response_kind_of(m_parser->head().m_status) == response_kind::invalid) {
+        fail(transfer_end::connection_lost, "the answer has an invalid status code");
+        return false;
+    }
     m_has_reported_head = true;
     record_keep_alive_timeout();
     m_handlers.m_on_head(m_parser->head());
--- a/libraries/libhttp/outgoing_connection.h
+++ b/libraries/libhttp/outgoing_connection.h
@@ -55,6 +55,7 @@
 private:
     void prepare_transfer(std::uint64_t transfer, outgoing_request request,
                           transfer_handlers handlers);
+    void start_parsing();
     void write_request();
     void read();
     void on_read(const asio::error_code& problem, std::size_t size);
--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -15,6 +15,7 @@
 #include "libpolicy/ingress/is_idempotent.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/refusal.h"
+#include "libwire/status_code.h"
 
 #include <algorithm>
 #include <array>
@@ -195,6 +196,20 @@
     end_run(self, context, id, execution_status::not_run);
 }
 
+/// Ends an attempt whose upstream sent something that is no answer to it, as a failure of the
+/// upstream. The request may have run.
+void end_with_unusable_answer(host_state& self, reducer_context& context, const attempt_id& id,
+                              transfer_id transfer, run_observation observation)
+{
+    auto& attempt = self.m_gate.m_attempts.at(id);
+    emit(context, cancel_transfer{transfer});
+    record_run_outcome(self, context, attempt, circuit::run_outcome::failed);
+    report_observation(self, context, attempt, observation);
+    answer_refusal(context, attempt.m_exchange, id,
+                   {refusal_kind::upstream_failed, request_outcome::unknown});
+    end_run(self, context, id, execution_status::may_have_run);
+}
+
 void end_relay(host_state& self, reducer_context& context, const attempt_id& id,
                const transfer_ended& end)
 {
@@ -339,17 +354,18 @@
             refuse_queued(self, context, attempt.m_metadata.m_endpoint);
         }
     }
+    if (response_kind_of(answer.m_head.m_status) != response_kind::final) {
+        end_with_unusable_answer(self, context, id, answer.m_transfer,
+                                 run_observation::ended_without_answer);
+        return;
+    }
     if (find_field(answer.m_head.m_fields, not_run_field)) {
         end_refused_by_upstream(self, context, id, answer);
         return;
     }
     if (answers_other_request(answer.m_head, id)) {
-        emit(context, cancel_transfer{answer.m_transfer});
-        record_run_outcome(self, context, attempt, circuit::run_outcome::failed);
-        report_observation(self, context, attempt, run_observation::answered_other_request);
-        answer_refusal(context, attempt.m_exchange, id,
-                       {refusal_kind::upstream_failed, request_outcome::unknown});
-        end_run(self, context, id, execution_status::may_have_run);
+        end_with_unusable_answer(self, context, id, answer.m_transfer,
+                                 run_observation::answered_other_request);
         return;
     }
     attempt.m_phase = gate_phase::relaying;
--- a/tests/libhttp/traffic_fixture.cpp
+++ b/tests/libhttp/traffic_fixture.cpp
@@ -70,7 +70,7 @@
         return body_flow::ready;
     };
     handlers.m_on_end = [&log](transfer_end end, const std::string&) { log.m_end = end; };
-    m_client.start(++m_last_transfer, std::move(request), std::move(handlers));
+    m_sender->start(++m_last_transfer, std::move(request), std::move(handlers));
     return m_last_transfer;
 }
 
--- a/tests/libhttp/traffic_fixture.h
+++ b/tests/libhttp/traffic_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libhttp/http_client.h"
 #include "libhttp/loopback_fixture.h"
 #include "libhttp/traffic_client.h"
 #include "libhttp/traffic_server.h"
@@ -15,7 +16,7 @@
 
 namespace chivevane::test {
 
-/// A traffic server and a traffic client on one loop, with a raw TCP listener that stands for an
+/// A traffic server and both clients on one loop, with a raw TCP listener that stands for an
 /// upstream and sends the bytes that a test gives. The server passes each request to `m_serve`.
 struct traffic_fixture {
     static constexpr const char* ip = "127.0.8.2";
@@ -53,6 +54,8 @@
     std::vector<std::uint64_t> m_disconnected_exchanges;
     std::function<void(const received_request&)> m_serve;
     traffic_client m_client{m_loop};
+    http_client m_curl_client{m_loop};
+    request_sender* m_sender = &m_client; ///< The client that sends the requests.
     traffic_server m_server;
     asio::ip::tcp::acceptor m_raw_acceptor;
     std::size_t m_raw_connections = 0;
--- a/tests/libpolicy/gate_attempts_test.cpp
+++ b/tests/libpolicy/gate_attempts_test.cpp
@@ -228,6 +228,27 @@
     BOOST_TEST(effects_of_type<start_transfer>(send(next_attempt(), reading())).size() == 1U);
 }
 
+/// Guards against relaying a status that no final answer has and counting its upstream as good.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_status_is_a_failure_of_its_upstream)
+{
+    for (const std::uint16_t status : {0, 99, 101, 150, 199, 600, 999}) {
+        for (const auto* const method : {"GET", "POST"}) {
+            gate_fixture host;
+            host.m_host_state.m_settings.m_placement = placement_mode::probing;
+            const auto order = effects_of_type<start_transfer>(
+                                   host.send(host.next_attempt(), host.reading(), method))
+                                   .at(0);
+            const auto effects = host.feed(transfer_head{order.m_transfer, {status, {}}});
+            BOOST_TEST(effects_of_type<relay_transfer>(effects).empty());
+            BOOST_TEST(effects_of_type<cancel_transfer>(effects).size() == 1U);
+            BOOST_TEST(effects_of_type<respond>(effects).at(0).m_head.m_status == 502);
+            BOOST_TEST(host.execution_status_of(effects) == "run");
+            const auto& circuit = host.m_host_state.m_gate.m_upstreams.at("permits-1").m_circuit;
+            BOOST_TEST((circuit.m_phase == circuit_phase::open));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_attempt_that_waited_through_a_pause_of_its_gate_is_not_run)
 {
     advance(100ms);
