gate: Give the answers of upstreams a file of their own

Change: upstream_answers holds it; refuse_queued stands beside refuse_attempt. No behaviour changes.

--- a/libraries/libpolicy/gate/gate.h
+++ b/libraries/libpolicy/gate/gate.h
@@ -24,10 +24,6 @@
 /// must not run twice.
 void on_ingress_disconnected(host_state& self, reducer_context& context, exchange_id exchange);
 
-void on_transfer_head(host_state& self, reducer_context& context, const transfer_head& answer);
-
-void on_transfer_ended(host_state& self, reducer_context& context, const transfer_ended& end);
-
 /// Makes sure that an attempt that was not handed over never is, and answers with its execution
 /// status.
 void on_cancel_attempt_request(host_state& self, reducer_context& context,
--- a/libraries/libpolicy/gate/running_attempts.cpp
+++ b/libraries/libpolicy/gate/running_attempts.cpp
@@ -404,6 +404,13 @@
     finish(self, context, id, execution_status::not_run);
 }
 
+void refuse_queued(host_state& self, reducer_context& context, std::string_view endpoint)
+{
+    for (const auto& waiting : admission::take_waiting(self.m_admission, endpoint)) {
+        refuse_attempt(self, context, waiting.m_attempt, refusal_kind::no_upstream);
+    }
+}
+
 void remove_from_queue(host_state& self, const gate_attempt& attempt)
 {
     const auto& id = attempt.m_metadata.m_attempt;
--- a/libraries/libpolicy/gate/running_attempts.h
+++ b/libraries/libpolicy/gate/running_attempts.h
@@ -27,6 +27,9 @@
 void refuse_attempt(host_state& self, reducer_context& context, const attempt_id& id,
                     refusal_kind kind, std::string_view crashed_run = {});
 
+/// Refuses the attempts that are queued for an upstream that accepts no new ones.
+void refuse_queued(host_state& self, reducer_context& context, std::string_view endpoint);
+
 /// Removes an attempt that was not handed over from its queue.
 void remove_from_queue(host_state& self, const gate_attempt& attempt);
 
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -6,6 +6,7 @@
 #include "libpolicy/configuration/store_contact.h"
 #include "libpolicy/gate/gate.h"
 #include "libpolicy/gate/health_checks.h"
+#include "libpolicy/gate/upstream_answers.h"
 #include "libpolicy/health/health.h"
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/ingress.h"
