configuration: Look for a watch's answer again before it counts as overdue

Cause: a host that lacked processor time finds its timer due together with the answers that arrived meanwhile, and the timer may come first. The watcher then reports itself as without contact and at once as reachable again, to all hosts of its data centre. Change: an answer is overdue only if it is still missing 20 ms later.

--- a/libraries/libpolicy/configuration/configuration_state.h
+++ b/libraries/libpolicy/configuration/configuration_state.h
@@ -106,6 +106,7 @@
     instant m_store_called_at;          ///< Time of the last read or watch.
     bool m_is_store_call_pending = false;
     instant m_answer_overdue_at = instant::max(); ///< `max()` if no watcher's call is in progress.
+    bool m_is_answer_rechecked = false; ///< The answer was overdue once, and is looked for again.
     std::uint32_t m_store_failures = 0; ///< Number of consecutive failed reads and watches.
     store_contact m_store_contact = store_contact::reachable; ///< Of this host.
     bool m_is_contact_report_due = false;
--- a/libraries/libpolicy/configuration/store_contact.cpp
+++ b/libraries/libpolicy/configuration/store_contact.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace chivevane::configuration {
 
@@ -21,6 +22,9 @@
 /// propagation limit. What `watch_share` and this leave is for the host that takes over.
 constexpr double answer_share = 0.15;
 
+/// Time in which a busy process reads the answers that have arrived already.
+constexpr duration recheck_delay = 20ms;
+
 duration share_of(duration whole, double share)
 {
     return from_seconds(to_seconds(whole) * share);
@@ -74,6 +78,10 @@
     if (context.m_now < state.m_answer_overdue_at) {
         return;
     }
+    if (!std::exchange(state.m_is_answer_rechecked, true)) {
+        state.m_answer_overdue_at = context.m_now + recheck_delay;
+        return;
+    }
     state.m_answer_overdue_at = instant::max();
     const auto waited = to_milliseconds(context.m_now - state.m_store_called_at);
     emit(context, record_event{"store-answer-overdue",
--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -72,6 +72,7 @@
         state.m_is_watcher ? watch_duration_of_watcher(settings) : settings.m_watch_timeout;
     if (state.m_is_watcher) {
         state.m_answer_overdue_at = answer_overdue_at(settings, context.m_now);
+        state.m_is_answer_rechecked = false;
     }
     call(state, context, store_purpose::document_watch,
          store_watch{std::string{documents_prefix}, state.m_store_revision, length});
--- a/tests/libpolicy/change_delay_test.cpp
+++ b/tests/libpolicy/change_delay_test.cpp
@@ -228,4 +228,18 @@
     BOOST_TEST(late == 0U);
 }
 
+/// Guards against watchers that are replaced again and again because they read answers late.
+BOOST_AUTO_TEST_CASE(an_answer_that_waited_while_its_host_was_busy_is_not_overdue)
+{
+    auto hosts = running_fleet(1);
+    const auto watcher = watchers(hosts).front();
+    for (int pause = 0; pause < 5; ++pause) {
+        hosts.m_hosts[watcher].m_paused_until = hosts.m_now + 1800ms;
+        hosts.run_for(3s);
+        const auto& configuration = hosts.state_of(watcher).m_configuration;
+        BOOST_TEST((configuration.m_store_contact == store_contact::reachable));
+        BOOST_TEST((configuration.m_contact_reported_at == instant{}));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
