--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -215,6 +215,7 @@
         self.work_s = work_s
         self.on_run = None
         self.runs = []  # (time, attempt id, path)
+        self.range_of = {}  # The Range field of each attempt that has one.
         self.connections = set()
         self.server = None
         self.beats = None
@@ -313,6 +314,8 @@
                                                 ("Chivevane-Attempt-Id", attempt)]))
             return
         self.running += 1
+        if "range" in fields:
+            self.range_of[attempt] = fields["range"]
         self.runs.append((time.monotonic(), attempt, target))
         self.record.write(f"endpoint {self.name} runs {method} {target} attempt={attempt}")
         try:
