membership: Remember departures of upstreams over restarts

Cause: only the process that acknowledged the departure knew it, so that its next run took the delayed heartbeat for that of an upstream in service. Evidence: the record shows no run on the upstream from its deregistration until 0.04 s after the late heartbeat, so that neither the old process nor stale records of the peers sent anything.

Change: a host reports departures, those announced and those stated in answers, to its peers, three times. The peers remember them for 120 s, send nothing to such an upstream whatever its process publishes, and return them to a process that has started, which asks three of them. An upstream that has left serves again with a new run only, which its process reports as well, so that a sound upstream is in use with its first announcement.

Why it works: the departure has as many homes as there are peers, and a process that restarts gets it back before it counts as in touch; what is missing until then is covered by the peers.

Not covered: all processes killed at the same moment (docs/design/restarts.md).

--- a/libraries/libpolicy/gate/gate.cpp
+++ b/libraries/libpolicy/gate/gate.cpp
@@ -10,6 +10,7 @@
 #include "libpolicy/gate/run_outcomes.h"
 #include "libpolicy/gate/running_attempts.h"
 #include "libpolicy/gate/shed_attempts.h"
+#include "libpolicy/gate/upstream_departures.h"
 #include "libpolicy/gate/upstream_statements.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/is_idempotent.h"
@@ -169,9 +170,10 @@
 void on_announcement(host_state& self, reducer_context& context,
                      const upstream_announcement& announcement)
 {
-    apply_announcement(self, context, announcement);
-    if (announcement.m_phase != upstream_phase::serving) {
-        refuse_queued(self, context, announcement.m_endpoint);
+    const auto effective = with_known_departure(self, context, announcement);
+    apply_announcement(self, context, effective);
+    if (effective.m_phase != upstream_phase::serving) {
+        refuse_queued(self, context, effective.m_endpoint);
     }
     start_waiting(self, context);
 }
--- a/libraries/libpolicy/gate/upstream_statements.cpp
+++ b/libraries/libpolicy/gate/upstream_statements.cpp
@@ -3,6 +3,7 @@
 #include "libpolicy/admission/admission.h"
 #include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/host_state.h"
+#include "libpolicy/membership/departures.h"
 
 #include <charconv>
 #include <cmath>
@@ -69,6 +70,7 @@
     emit(context, record_event{"upstream-says-leaving",
                                {{"endpoint", endpoint}},
                                record_target::timeline_and_log});
+    membership::record_departure(self.m_membership, context, endpoint, upstream.m_latest.m_run);
     publish_upstreams(self);
 }
 
@@ -86,6 +88,9 @@
     apply_rate(self, context, found->second, attempt, rate_of(head));
     if (find_field(head.m_fields, leaving_field) == "1") {
         apply_leaving(self, context, found->second, found->first);
+        membership::report_departure_to(self.m_membership, context,
+                                        attempt.m_metadata.m_attempt.m_ingress.m_name,
+                                        found->first);
     }
 }
 
--- a/libraries/libpolicy/host_state.h
+++ b/libraries/libpolicy/host_state.h
@@ -10,6 +10,7 @@
 #include "libpolicy/ingress/ingress_state.h"
 #include "libpolicy/limits/limits_state.h"
 #include "libpolicy/membership/membership_state.h"
+#include "libpolicy/recovery/recovery_state.h"
 
 #include <cstdint>
 #include <optional>
@@ -29,6 +30,7 @@
     admission_state m_admission;
     membership_state m_membership;
     configuration_state m_configuration;
+    recovery_state m_recovery;
     std::optional<instant> m_leave_deadline; ///< Set once the host is asked to shut down.
 
     /// Until then a host that is asked to shut down still takes requests.
--- a/libraries/libpolicy/membership/host_records.cpp
+++ b/libraries/libpolicy/membership/host_records.cpp
@@ -75,6 +75,14 @@
     return complete;
 }
 
+peer_list record_receivers(const membership_state& state)
+{
+    auto peers = live_peers(state);
+    std::erase_if(peers,
+                  [&state](const member* peer) { return !is_record_receiver(state, *peer); });
+    return peers;
+}
+
 /// Whether `received` is of an earlier incarnation than `known`, or not of a later version.
 bool is_outdated(const host_record& received, const host_record& known)
 {
@@ -107,9 +115,7 @@
 void push_own_record(membership_state& state, reducer_context& context)
 {
     const auto& self = state.m_members.at(state.m_own_record.m_identity.m_name);
-    const auto all = live_peers(state);
-    const auto direct = is_large_fleet(state) ? local_peers(state, all) : all;
-    for (const auto* const peer : direct) {
+    for (const auto* const peer : record_receivers(state)) {
         send_host_record(context, self, peer->m_record.m_address);
     }
     if (!is_large_fleet(state)) {
@@ -121,6 +127,19 @@
     }
 }
 
+bool is_record_receiver(const membership_state& state, const member& peer)
+{
+    return !is_large_fleet(state) || is_local(state, peer);
+}
+
+void send_to_record_receivers(const membership_state& state, reducer_context& context,
+                              const message& body)
+{
+    for (const auto* const peer : record_receivers(state)) {
+        emit(context, send_datagram{peer->m_record.m_address, body});
+    }
+}
+
 merge_outcome merge_host_record(membership_state& state, reducer_context& context,
                                 const host_record& received)
 {
--- a/libraries/libpolicy/membership/host_records.h
+++ b/libraries/libpolicy/membership/host_records.h
@@ -2,6 +2,7 @@
 
 #include "libpolicy/membership/membership_state.h"
 #include "libpolicy/reducer_context.h"
+#include "libwire/message.h"
 
 #include <cstdint>
 #include <span>
@@ -20,6 +21,14 @@
 /// the own data centre and a few of each other one, which relay the record.
 void push_own_record(membership_state& state, reducer_context& context);
 
+/// Whether this host sends its record to `peer` directly: in a large fleet only inside its own data
+/// centre.
+bool is_record_receiver(const membership_state& state, const member& peer);
+
+/// Sends `body` to the peers to which this host sends its record, except the relays.
+void send_to_record_receivers(const membership_state& state, reducer_context& context,
+                              const message& body);
+
 /// Whether a received record changed what this host knows: `updated` means a newer version of a
 /// known incarnation, `joined` a new host or a new incarnation.
 enum class merge_outcome : std::uint8_t { unchanged, updated, joined };
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -308,6 +308,7 @@
     }
     begin_round(state, context);
     push_again(state, context);
+    maintain_departures(state, context);
     update_members(state, context);
     if (count_live_peers(state) == 0) {
         contact_candidates(state, context);
--- a/libraries/libpolicy/membership/membership_state.h
+++ b/libraries/libpolicy/membership/membership_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libbase/instant.h"
+#include "libpolicy/membership/departures.h"
 #include "libpolicy/membership/member.h"
 #include "libpolicy/membership/registration_state.h"
 
@@ -51,6 +52,7 @@
     /// Begin of the latest round of this host that other hosts are known to have learnt of.
     std::optional<instant> m_own_round_seen_at;
     registration_state m_registration;
+    departure_table m_departures;
 };
 
 } // namespace chivevane
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -7,12 +7,14 @@
 #include "libpolicy/gate/gate.h"
 #include "libpolicy/gate/health_checks.h"
 #include "libpolicy/gate/upstream_answers.h"
+#include "libpolicy/gate/upstream_departures.h"
 #include "libpolicy/health/health.h"
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/ingress.h"
 #include "libpolicy/limits/limits.h"
 #include "libpolicy/limits/metering.h"
 #include "libpolicy/membership/membership.h"
+#include "libpolicy/recovery/recovery.h"
 
 #include <algorithm>
 
@@ -50,6 +52,7 @@
 void handle(host_state& self, reducer_context& context, const timer_fired&)
 {
     membership::on_timer(self.m_membership, context);
+    recovery::on_timer(self, context);
     configuration::on_timer(self.m_configuration, context, self.m_membership);
     limits::on_timer(self.m_limits, context, self.m_membership);
     health::on_timer(self.m_health, context, self.m_membership, self.m_configuration);
@@ -120,75 +123,82 @@
 void handle(host_state& self, reducer_context& context, const datagram_received& received)
 {
     const auto& sender = received.m_sender;
-    std::visit(overloaded{
-                   [&](const host_record& record) {
-                       membership::on_host_record(self.m_membership, context, sender, record);
-                       configuration::on_host_record(self.m_configuration, context, record);
-                   },
-                   [&](const document_revisions& revisions) {
-                       configuration::on_document_revisions(self.m_configuration, context, sender,
-                                                            revisions, self.m_membership);
-                   },
-                   [&](const loan_request& request) {
-                       limits::on_loan_request(self.m_limits, context, self.m_membership, sender,
+    std::visit(
+        overloaded{
+            [&](const host_record& record) {
+                membership::on_host_record(self.m_membership, context, sender, record);
+                configuration::on_host_record(self.m_configuration, context, record);
+            },
+            [&](const document_revisions& revisions) {
+                configuration::on_document_revisions(self.m_configuration, context, sender,
+                                                     revisions, self.m_membership);
+            },
+            [&](const loan_request& request) {
+                limits::on_loan_request(self.m_limits, context, self.m_membership, sender, request);
+            },
+            [&](const loan_response& response) {
+                limits::on_loan_response(self.m_limits, context, self.m_membership, sender,
+                                         response);
+            },
+            [&](const loan_report& report) {
+                limits::on_loan_report(self.m_limits, context, sender, report);
+            },
+            [&](const share_lease_request& request) {
+                limits::on_share_lease_request(self.m_limits, context, self.m_membership, sender,
                                                request);
-                   },
-                   [&](const loan_response& response) {
-                       limits::on_loan_response(self.m_limits, context, self.m_membership, sender,
-                                                response);
-                   },
-                   [&](const loan_report& report) {
-                       limits::on_loan_report(self.m_limits, context, sender, report);
-                   },
-                   [&](const share_lease_request& request) {
-                       limits::on_share_lease_request(self.m_limits, context, self.m_membership,
-                                                      sender, request);
-                   },
-                   [&](const share_lease_response& response) {
-                       limits::on_share_lease_response(self.m_limits, context, sender, response);
-                   },
-                   [&](const cancel_attempt_request& request) {
-                       gate::on_cancel_attempt_request(self, context, sender, request);
-                   },
-                   [&](const cancel_attempt_response& response) {
-                       ingress::on_cancel_attempt_response(self, context, response);
-                   },
-                   [&](const crash_report& report) {
-                       gate::on_crash_report(self, context, sender, report);
-                   },
-                   [&](const health_report& report) {
-                       health::on_report(self.m_health, context, sender, report);
-                   },
-                   [&](const gossip& update) {
-                       membership::on_gossip(self.m_membership, context, sender, update);
-                       configuration::on_gossip(self.m_configuration, context, sender, update,
-                                                self.m_membership);
-                   },
-                   [&](const probe& request) {
-                       membership::on_probe(self.m_membership, context, sender, request);
-                   },
-                   [&](const probe_ack& ack) {
-                       membership::on_probe_ack(self.m_membership, context, sender, ack);
-                   },
-                   [&](const host_record_request& request) {
-                       membership::on_host_record_request(self.m_membership, context, request);
-                   },
-                   [&](const document_revisions_request& request) {
-                       configuration::on_revisions_request(self.m_configuration, context, request);
-                   },
-                   [&](const store_contact_report& report) {
-                       configuration::on_store_contact_report(self.m_configuration, context, sender,
-                                                              report);
-                   },
-                   [&](const token_request& request) {
-                       limits::on_token_request(self.m_limits.m_metering, context,
-                                                self.m_membership, sender, request);
-                   },
-                   [&](const token_response& response) {
-                       limits::on_token_response(self.m_limits.m_metering, context, response);
-                   },
-               },
-               received.m_message);
+            },
+            [&](const share_lease_response& response) {
+                limits::on_share_lease_response(self.m_limits, context, sender, response);
+            },
+            [&](const cancel_attempt_request& request) {
+                gate::on_cancel_attempt_request(self, context, sender, request);
+            },
+            [&](const cancel_attempt_response& response) {
+                ingress::on_cancel_attempt_response(self, context, response);
+            },
+            [&](const crash_report& report) {
+                gate::on_crash_report(self, context, sender, report);
+            },
+            [&](const health_report& report) {
+                health::on_report(self.m_health, context, sender, report);
+            },
+            [&](const gossip& update) {
+                membership::on_gossip(self.m_membership, context, sender, update);
+                configuration::on_gossip(self.m_configuration, context, sender, update,
+                                         self.m_membership);
+            },
+            [&](const probe& request) {
+                membership::on_probe(self.m_membership, context, sender, request);
+            },
+            [&](const probe_ack& ack) {
+                membership::on_probe_ack(self.m_membership, context, sender, ack);
+            },
+            [&](const host_record_request& request) {
+                membership::on_host_record_request(self.m_membership, context, request);
+            },
+            [&](const document_revisions_request& request) {
+                configuration::on_revisions_request(self.m_configuration, context, request);
+            },
+            [&](const store_contact_report& report) {
+                configuration::on_store_contact_report(self.m_configuration, context, sender,
+                                                       report);
+            },
+            [&](const token_request& request) {
+                limits::on_token_request(self.m_limits.m_metering, context, self.m_membership,
+                                         sender, request);
+            },
+            [&](const token_response& response) {
+                limits::on_token_response(self.m_limits.m_metering, context, response);
+            },
+            [&](const departure_report& report) {
+                gate::on_departures_reported(self, context, report.m_departures);
+            },
+            [&](const recovery_request& request) { recovery::on_request(self, context, request); },
+            [&](const recovery_response& response) {
+                recovery::on_response(self, context, sender, response);
+            },
+        },
+        received.m_message);
 }
 
 void handle(host_state& self, reducer_context& context, const store_response& response)
@@ -289,6 +299,7 @@
                                          : limit_basis::answers;
     auto context = make_context(self, now, wall_ms, started.m_effects);
     membership::start(self.m_membership, context);
+    recovery::start(self.m_recovery, context);
     configuration::start(self.m_configuration, context);
     limits::start(self.m_limits, context);
     return started;
@@ -306,12 +317,12 @@
 
 instant next_wakeup(const host_state& self)
 {
-    return std::min({membership::next_wakeup(self.m_membership),
-                     configuration::next_wakeup(self.m_configuration),
-                     limits::next_wakeup(self.m_limits), health::next_wakeup(self.m_health),
-                     admission::next_wakeup(self.m_admission), gate::next_wakeup(self.m_gate),
-                     ingress::next_wakeup(self.m_ingress),
-                     self.m_leave_deadline.value_or(instant::max()), shutdown_notice_end(self)});
+    return std::min(
+        {membership::next_wakeup(self.m_membership), recovery::next_wakeup(self.m_recovery),
+         configuration::next_wakeup(self.m_configuration), limits::next_wakeup(self.m_limits),
+         health::next_wakeup(self.m_health), admission::next_wakeup(self.m_admission),
+         gate::next_wakeup(self.m_gate), ingress::next_wakeup(self.m_ingress),
+         self.m_leave_deadline.value_or(instant::max()), shutdown_notice_end(self)});
 }
 
 } // namespace chivevane
--- a/libraries/libpolicy/routing/routing.cpp
+++ b/libraries/libpolicy/routing/routing.cpp
@@ -69,6 +69,10 @@
                 summary.m_phase != upstream_phase::serving || is_out(lookup, record.m_datacentre)) {
                 continue;
             }
+            // The process beside a departed upstream may have restarted and not know it any more.
+            if (membership::is_departed(members, {name, summary.m_endpoint})) {
+                continue;
+            }
             const bool is_in_own_datacentre =
                 record.m_datacentre == context.m_settings.m_datacentre;
             found.push_back(
--- a/libraries/libwire/message.h
+++ b/libraries/libwire/message.h
@@ -4,6 +4,7 @@
 #include "libwire/health_messages.h"
 #include "libwire/loan_messages.h"
 #include "libwire/membership_messages.h"
+#include "libwire/recovery_messages.h"
 #include "libwire/token_messages.h"
 
 #include <variant>
@@ -17,6 +18,6 @@
                  cancel_attempt_request, cancel_attempt_response, crash_report, health_report,
                  loan_report, share_lease_request, share_lease_response, gossip, probe, probe_ack,
                  host_record_request, document_revisions_request, token_request, token_response,
-                 store_contact_report>;
+                 store_contact_report, departure_report, recovery_request, recovery_response>;
 
 } // namespace chivevane
--- a/tests/libpolicy/restart_test.cpp
+++ b/tests/libpolicy/restart_test.cpp
@@ -1,6 +1,8 @@
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/fleet_fixture.h"
+#include "libpolicy/gate/local_upstreams.h"
 #include "libpolicy/host_fixture.h"
+#include "libpolicy/routing/routing.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -71,4 +73,138 @@
         hosts.run_until([&] { return configuration::may_serve(configuration, hosts.m_now); }, 5s));
 }
 
+namespace {
+
+const std::string departing = "permits-2";
+
+upstream_announcement announcement_of(std::uint64_t run)
+{
+    upstream_announcement announcement{departing, "permits", "127.0.0.1", 9000, 4};
+    announcement.m_run = run;
+    announcement.m_time_to_live = 9s;
+    return announcement;
+}
+
+upstream_announcement departure_of(std::uint64_t run)
+{
+    auto departure = announcement_of(run);
+    departure.m_phase = upstream_phase::draining;
+    departure.m_time_to_live = {};
+    return departure;
+}
+
+/// Whether any host other than `gate` would send a request to the upstream on host `gate`.
+bool is_offered(fleet& hosts, std::size_t gate)
+{
+    for (std::size_t index = 0; index < hosts.m_hosts.size(); ++index) {
+        if (index == gate || !hosts.is_up(index)) {
+            continue;
+        }
+        const auto& viewer = hosts.state_of(index);
+        random_engine engine;
+        std::uint64_t last_id = 0;
+        effect_list effects;
+        const reducer_context context{hosts.m_now, 0, viewer.m_settings, engine, last_id, effects};
+        if (!routing::find_upstreams(context, viewer.m_membership, viewer.m_configuration,
+                                     "permits")
+                 .empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool is_served(fleet& hosts, std::size_t gate)
+{
+    return gate::find_serving_upstream(hosts.state_of(gate).m_gate, departing) != nullptr;
+}
+
+/// A fleet in which the upstream on host 2 has left, as acknowledged by its process.
+struct departed_fleet : fleet {
+    explicit departed_fleet(std::uint64_t seed) : fleet{6, seed, seeds::none}
+    {
+        start_all();
+        run_for(8s);
+        feed(2, announcement_of(100));
+        run_for(2s);
+        BOOST_TEST_REQUIRE(is_offered(*this, 2));
+        feed(2, departure_of(100));
+    }
+
+    /// Restarts host 2, to which a late announcement of the upstream comes `late_by` after.
+    void restart_with_late_announcement(duration late_by)
+    {
+        kill(2);
+        run_for(500ms);
+        start(2);
+        run_for(late_by);
+        feed(2, announcement_of(100));
+    }
+};
+
+} // namespace
+
+/// Guards against a late heartbeat that undoes an acknowledged departure after a restart.
+BOOST_AUTO_TEST_CASE(a_departed_upstream_stays_out_of_use_when_its_process_restarts)
+{
+    for (const duration late_by : {duration{1ms}, duration{200ms}, duration{2s}, duration{20s}}) {
+        departed_fleet hosts{7};
+        hosts.m_loss = 0.1;
+        hosts.run_for(300ms);
+        hosts.restart_with_late_announcement(late_by);
+        for (int step = 0; step < 100; ++step) {
+            hosts.run_for(50ms);
+            BOOST_TEST(!is_offered(hosts, 2));
+            BOOST_TEST((hosts.m_now - hosts.state_of(2).m_membership.m_started_at < 3s ||
+                        !is_served(hosts, 2)));
+        }
+    }
+}
+
+/// Guards against a departure that only processes from before a series of restarts know.
+BOOST_AUTO_TEST_CASE(a_departure_is_known_after_every_process_was_restarted_in_turn)
+{
+    departed_fleet hosts{8};
+    hosts.run_for(1s);
+    for (const std::size_t restarted : {0U, 1U, 3U, 4U, 5U}) {
+        hosts.kill(restarted);
+        hosts.run_for(500ms);
+        hosts.start(restarted);
+        hosts.run_for(6s);
+    }
+    hosts.restart_with_late_announcement(10ms);
+    hosts.run_for(3s);
+    BOOST_TEST(!is_served(hosts, 2));
+    BOOST_TEST(!is_offered(hosts, 2));
+}
+
+/// Guards against a departure that keeps a later run of the upstream out of use.
+BOOST_AUTO_TEST_CASE(a_new_run_of_a_departed_upstream_is_in_use_at_once)
+{
+    departed_fleet hosts{9};
+    hosts.run_for(1s);
+    hosts.restart_with_late_announcement(1ms);
+    hosts.feed(2, announcement_of(200));
+    BOOST_TEST(is_served(hosts, 2));
+    BOOST_TEST(hosts.run_until([&] { return is_offered(hosts, 2); }, 2s));
+    hosts.run_for(5s);
+    BOOST_TEST(is_served(hosts, 2));
+}
+
+/// Guards against a sound upstream that a restart of its process keeps out of use.
+BOOST_AUTO_TEST_CASE(an_upstream_that_has_not_left_is_in_use_with_its_first_announcement)
+{
+    departed_fleet hosts{10};
+    hosts.feed(2, announcement_of(200));
+    hosts.run_for(2s);
+    hosts.kill(2);
+    hosts.run_for(500ms);
+    hosts.start(2);
+    hosts.feed(2, announcement_of(200));
+    BOOST_TEST(is_served(hosts, 2));
+    hosts.run_for(6s);
+    BOOST_TEST(is_served(hosts, 2));
+    BOOST_TEST(is_offered(hosts, 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libwire/datagram_fuzz_test.cpp
+++ b/tests/libwire/datagram_fuzz_test.cpp
@@ -55,7 +55,7 @@
 message random_message()
 {
     const attempt_id attempt{{random_name(), random_number()}, random_number(), random_number()};
-    switch (*rc::gen::inRange(0, 9)) {
+    switch (*rc::gen::inRange(0, 11)) {
     case 0:
         return random_host_record();
     case 1:
@@ -78,6 +78,10 @@
                       {{random_number(), random_number(), random_number()}, {random_number()}}};
     case 7:
         return host_record_request{random_address(), {random_number(), random_number()}};
+    case 8:
+        return recovery_request{random_address()};
+    case 9:
+        return recovery_response{1, 2, true, {{{random_name(), random_name()}, random_number()}}};
     default:
         return document_revisions_request{random_address(), random_number()};
     }
