gate: Keep quarantines of crashing requests over restarts

Each crash loses what else the upstream was at work on.

Cause: crashed runs are known to the processes that ran when they were reported, and a process that starts is told nothing; after one round of restarts nobody knows the request. Evidence: the same requests without restarts crash two upstreams, so reports arrive, and the first tries after a restart came within the 60 s of the quarantine.

Related paths, mended here as parts of the same promise: a quarantine left nothing behind when its 60 s were over, so that a request that comes back for ever crashed two more upstreams a minute (the new test shows it); reports went to the hosts of the service only, all of which may restart; one organisation with many bad requests could evict those of others.

Change: a process that has started gets the suspects from its peers. A quarantine is reported to all peers. After a quarantine a request stays suspected for an hour, in which it runs alone once; it is cleared if the upstream survives, and refused eight times as long if not. Eviction takes the weakest suspect of the organisation with the most. The upper bits of a fingerprint name the organisation for that, so builds before and after this change do not share suspects.

Why it works: a quarantine has as many homes as there are peers and outlives its own end; a harmless request runs again after 60 s at the latest, as before.

--- a/libraries/libpolicy/gate/crash_reports.cpp
+++ b/libraries/libpolicy/gate/crash_reports.cpp
@@ -1,6 +1,7 @@
 #include "libpolicy/gate/crash_reports.h"
 
 #include "libpolicy/host_state.h"
+#include "libpolicy/membership/host_records.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -21,28 +22,49 @@
                        [service](const auto& summary) { return summary.m_service == service; });
 }
 
-void send_to_service(const host_state& self, reducer_context& context,
-                     const pending_crash_report& pending)
+bool is_receiver(const host_state& self, const pending_crash_report& pending, const member& peer)
+{
+    return has_service(peer, pending.m_service) ||
+           (pending.m_receivers == crash_report_receivers::peers &&
+            peer.m_status != member_status::dead &&
+            membership::is_record_receiver(self.m_membership, peer));
+}
+
+void send_report(const host_state& self, reducer_context& context,
+                 const pending_crash_report& pending)
 {
     for (const auto& [name, peer] : self.m_membership.m_members) {
-        if (name != context.m_settings.m_self.m_name && has_service(peer, pending.m_service)) {
+        if (name != context.m_settings.m_self.m_name && is_receiver(self, pending, peer)) {
             emit(context, send_datagram{peer.m_record.m_address, pending.m_report});
         }
     }
 }
 
 void queue_report(host_state& self, reducer_context& context, const crash_report& report,
-                  const std::string& service)
+                  const std::string& service, crash_report_receivers receivers)
 {
     auto& pending_reports = self.m_gate.m_pending_crash_reports;
     if (pending_reports.size() >= max_pending_reports) {
         pending_reports.pop_front();
     }
-    pending_reports.push_back(
-        {report, service, context.m_settings.m_gossip.m_crash_report_sends, context.m_now});
+    pending_reports.push_back({report, service, receivers,
+                               context.m_settings.m_gossip.m_crash_report_sends, context.m_now});
     send_reports(self, context);
 }
 
+/// Reports all crashed runs of a request that is quarantined, since hosts without upstreams of its
+/// service may know none of them.
+void queue_quarantine(host_state& self, reducer_context& context, std::uint64_t fingerprint,
+                      const std::string& service)
+{
+    for (const auto crashed_runs =
+             self.m_gate.m_quarantine.m_suspects.at(fingerprint).m_crashed_runs;
+         const auto& crashed_run : crashed_runs) {
+        queue_report(self, context, {fingerprint, crashed_run, crash_evidence::added}, service,
+                     crash_report_receivers::peers);
+    }
+}
+
 } // namespace
 
 std::string report_broken_connection(host_state& self, reducer_context& context,
@@ -58,8 +80,14 @@
                                     {"strike", crashed_run},
                                     {"fingerprint", std::to_string(metadata.m_fingerprint)}},
                                    record_target::timeline_and_log});
-        queue_report(self, context, {metadata.m_fingerprint, crashed_run, crash_evidence::added},
-                     metadata.m_service);
+        if (quarantine::was_quarantined(self.m_gate.m_quarantine, metadata.m_fingerprint)) {
+            queue_quarantine(self, context, metadata.m_fingerprint, metadata.m_service);
+        }
+        else {
+            queue_report(self, context,
+                         {metadata.m_fingerprint, crashed_run, crash_evidence::added},
+                         metadata.m_service, crash_report_receivers::service);
+        }
     }
     return crashed_run;
 }
@@ -72,13 +100,17 @@
         found->second.m_running_attempt != metadata.m_attempt) {
         return;
     }
+    const auto receivers =
+        quarantine::was_quarantined(self.m_gate.m_quarantine, metadata.m_fingerprint)
+            ? crash_report_receivers::peers
+            : crash_report_receivers::service;
     for (const auto crashed_runs = found->second.m_crashed_runs;
          const auto& crashed_run : crashed_runs) {
         quarantine::withdraw_crashed_run(self.m_gate.m_quarantine, metadata.m_fingerprint,
                                          crashed_run);
         queue_report(self, context,
                      {metadata.m_fingerprint, crashed_run, crash_evidence::withdrawn},
-                     metadata.m_service);
+                     metadata.m_service, receivers);
     }
 }
 
@@ -87,7 +119,7 @@
     auto& pending_reports = self.m_gate.m_pending_crash_reports;
     for (auto& pending : pending_reports) {
         if (pending.m_next_send <= context.m_now) {
-            send_to_service(self, context, pending);
+            send_report(self, context, pending);
             pending.m_next_send = context.m_now + send_interval;
             --pending.m_sends_left;
         }
--- a/libraries/libpolicy/gate/gate_state.h
+++ b/libraries/libpolicy/gate/gate_state.h
@@ -92,10 +92,18 @@
     auto operator<=>(const scheduled_check&) const = default;
 };
 
+/// The hosts to which a crash report goes.
+enum class crash_report_receivers : std::uint8_t {
+    service, ///< Those with upstreams of the service of the request.
+    peers    ///< In addition those that get this host's record, as a quarantine must last although
+             ///< all hosts of the service restart.
+};
+
 /// Crash report that is sent several times, since datagrams get lost.
 struct pending_crash_report {
     crash_report m_report;
-    std::string m_service; ///< The report goes to the hosts with upstreams of this service.
+    std::string m_service;
+    crash_report_receivers m_receivers = crash_report_receivers::service;
     std::uint32_t m_sends_left = 0;
     instant m_next_send;
 };
--- a/libraries/libpolicy/ingress/new_request.cpp
+++ b/libraries/libpolicy/ingress/new_request.cpp
@@ -3,6 +3,7 @@
 #include "libbase/digest.h"
 #include "libpolicy/configuration/configuration.h"
 #include "libpolicy/forwarding.h"
+#include "libpolicy/gate/quarantine.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/is_idempotent.h"
 #include "libpolicy/ingress/request_priority.h"
@@ -20,9 +21,10 @@
 
 std::uint64_t fingerprint_of(const ingress_request& request)
 {
-    return stable_hash(fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation,
-                                   request.m_route->m_name, request.m_head.m_method,
-                                   request.m_head.m_target, request.m_body_hash));
+    const auto request_hash = stable_hash(
+        fmt::format("{}\n{}\n{}\n{}\n{}", request.m_organisation, request.m_route->m_name,
+                    request.m_head.m_method, request.m_head.m_target, request.m_body_hash));
+    return quarantine::make_fingerprint(request.m_organisation, request_hash);
 }
 
 /// Chooses the service that gets a request of the route `matched`, at random in proportion to the
--- a/libraries/libpolicy/recovery/recovery.cpp
+++ b/libraries/libpolicy/recovery/recovery.cpp
@@ -1,12 +1,16 @@
 #include "libpolicy/recovery/recovery.h"
 
+#include "libpolicy/gate/quarantine.h"
 #include "libpolicy/gate/upstream_departures.h"
 #include "libpolicy/host_state.h"
 #include "libpolicy/membership/departures.h"
+#include "libpolicy/membership/host_records.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/membership/peers.h"
 
 #include <algorithm>
+#include <array>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -14,8 +18,8 @@
 
 namespace {
 
-/// Number of recovered peers whose answers complete the recovery. More than one, as the report of a
-/// change to a single peer may have been lost.
+/// Number of recovered peers of each group whose answers complete the recovery. More than one, as
+/// the report of a change to a single peer may have been lost.
 constexpr std::size_t answers_needed = 3;
 
 /// Time after the start of a process after which its recovery ends in any case.
@@ -24,8 +28,15 @@
 constexpr duration first_request_interval = 200ms; ///< Doubles with each request.
 constexpr duration max_request_interval = 1s;
 
-/// Number of entries in one part of an answer, so that it fits into a datagram.
-constexpr std::size_t entries_per_part = 10;
+/// Numbers of entries in one part of an answer, so that it fits into a datagram.
+constexpr std::size_t departures_per_part = 10;
+constexpr std::size_t crash_records_per_part = 5;
+
+bool has_answered(const recovery_state& state, const member& peer)
+{
+    const auto answer = state.m_answers.find(peer.m_record.m_identity.m_name);
+    return answer != state.m_answers.end() && answer->second.m_is_whole;
+}
 
 std::size_t count_whole_answers(const recovery_state& state)
 {
@@ -34,40 +45,89 @@
                       [](const auto& each) { return each.second.m_is_whole; }));
 }
 
-/// Returns how many peers have to answer. Until this process knows its peers, the registered hosts
-/// tell how many there are.
-std::size_t count_needed_answers(const membership_state& members)
+/// Whether `peer` has an upstream of a service that this host has one of. Requests that crash
+/// upstreams are known to the hosts of the service first.
+bool has_common_service(const host_state& self, const reducer_context& context, const member& peer)
 {
-    return std::min(answers_needed, std::max(membership::count_live_peers(members),
-                                             members.m_registration.m_registered.size()));
+    const auto& own = self.m_membership.m_own_record.m_upstreams;
+    const auto& upstreams = peer.m_record.m_upstreams;
+    return std::any_of(upstreams.begin(), upstreams.end(), [&](const upstream_summary& theirs) {
+        return theirs.m_service == context.m_settings.m_service ||
+               std::any_of(own.begin(), own.end(), [&theirs](const upstream_summary& ours) {
+                   return ours.m_service == theirs.m_service;
+               });
+    });
 }
 
-/// Returns the usable peers that have not answered as a whole. In a large fleet those of the own
-/// data centre come first, as a host sends its reports only there.
-membership::peer_list unanswered_peers(const host_state& self)
+/// Returns the groups of usable peers that keep state for this host: those to which it sends its
+/// reports, and those with a common service.
+std::array<membership::peer_list, 2> peer_groups(const host_state& self,
+                                                 const reducer_context& context)
 {
-    const auto& members = self.m_membership;
-    const auto live = membership::live_peers(members);
-    const auto local = membership::local_peers(members, live);
-    auto peers = membership::is_large_fleet(members) && !local.empty() ? local : live;
-    std::erase_if(peers, [&](const member* peer) {
-        const auto answer = self.m_recovery.m_answers.find(peer->m_record.m_identity.m_name);
-        const bool has_answered =
-            answer != self.m_recovery.m_answers.end() && answer->second.m_is_whole;
-        return has_answered || !membership::is_usable(*peer);
-    });
-    return peers;
+    std::array<membership::peer_list, 2> groups;
+    for (const auto* const peer : membership::live_peers(self.m_membership)) {
+        if (!membership::is_usable(*peer)) {
+            continue;
+        }
+        if (membership::is_record_receiver(self.m_membership, *peer)) {
+            groups[0].push_back(peer);
+        }
+        if (has_common_service(self, context, *peer)) {
+            groups[1].push_back(peer);
+        }
+    }
+    return groups;
 }
 
 void request_from_peers(host_state& self, reducer_context& context)
 {
-    auto peers = unanswered_peers(self);
-    for (auto left = answers_needed; left > 0 && !peers.empty(); --left) {
-        const auto pick = context.m_random(static_cast<std::uint32_t>(peers.size()));
-        emit(context, send_datagram{peers[pick]->m_record.m_address,
-                                    recovery_request{context.m_settings.m_address}});
-        peers.erase(peers.begin() + pick);
+    std::set<const member*> asked;
+    for (auto& peers : peer_groups(self, context)) {
+        std::erase_if(peers, [&](const member* peer) {
+            return has_answered(self.m_recovery, *peer) || asked.contains(peer);
+        });
+        for (auto left = answers_needed; left > 0 && !peers.empty(); --left) {
+            const auto pick = context.m_random(static_cast<std::uint32_t>(peers.size()));
+            emit(context, send_datagram{peers[pick]->m_record.m_address,
+                                        recovery_request{context.m_settings.m_address}});
+            asked.insert(peers[pick]);
+            peers.erase(peers.begin() + pick);
+        }
+    }
+}
+
+/// Whether enough peers of each group have answered. Until this process knows its peers, the
+/// registered hosts tell how many there are.
+bool has_enough_answers(const host_state& self, const reducer_context& context)
+{
+    const auto registered = self.m_membership.m_registration.m_registered.size();
+    const auto live = membership::count_live_peers(self.m_membership);
+    if (count_whole_answers(self.m_recovery) <
+        std::min(answers_needed, std::max(live, registered))) {
+        return false;
     }
+    const auto groups = peer_groups(self, context);
+    return std::all_of(groups.begin(), groups.end(), [&](const membership::peer_list& peers) {
+        const auto answered = std::count_if(peers.begin(), peers.end(), [&](const member* peer) {
+            return has_answered(self.m_recovery, *peer);
+        });
+        return static_cast<std::size_t>(answered) >= std::min(answers_needed, peers.size());
+    });
+}
+
+/// Returns a part of `entries`, which is divided into parts of `size` entries.
+template <typename Entry>
+std::vector<Entry> part_of(const std::vector<Entry>& entries, std::size_t part, std::size_t size)
+{
+    const auto first = std::min(entries.size(), part * size);
+    const auto last = std::min(entries.size(), first + size);
+    return {entries.begin() + static_cast<std::ptrdiff_t>(first),
+            entries.begin() + static_cast<std::ptrdiff_t>(last)};
+}
+
+std::size_t count_parts(std::size_t entries, std::size_t size)
+{
+    return (entries + size - 1) / size;
 }
 
 void complete(recovery_state& state, reducer_context& context)
@@ -108,16 +168,21 @@
 void on_request(const host_state& self, reducer_context& context, const recovery_request& request)
 {
     const auto departures = membership::list_departures(self.m_membership, context);
-    const auto parts =
-        std::max<std::size_t>(1, (departures.size() + entries_per_part - 1) / entries_per_part);
+    const auto records = quarantine::list_records(self.m_gate.m_quarantine, context.m_now);
+    const auto departure_parts = count_parts(departures.size(), departures_per_part);
+    const auto record_parts = count_parts(records.size(), crash_records_per_part);
+    const auto parts = std::max<std::size_t>(1, departure_parts + record_parts);
     for (std::size_t part = 0; part < parts; ++part) {
         recovery_response response{static_cast<std::uint16_t>(part),
                                    static_cast<std::uint16_t>(parts),
                                    self.m_recovery.m_is_complete};
-        const auto first = part * entries_per_part;
-        const auto last = std::min(departures.size(), first + entries_per_part);
-        response.m_departures.assign(departures.begin() + static_cast<std::ptrdiff_t>(first),
-                                     departures.begin() + static_cast<std::ptrdiff_t>(last));
+        if (part < departure_parts) {
+            response.m_departures = part_of(departures, part, departures_per_part);
+        }
+        else {
+            response.m_crash_records =
+                part_of(records, part - departure_parts, crash_records_per_part);
+        }
         emit(context, send_datagram{request.m_address, std::move(response)});
     }
 }
@@ -126,6 +191,9 @@
                  const recovery_response& response)
 {
     gate::on_departures_reported(self, context, response.m_departures);
+    for (const auto& record : response.m_crash_records) {
+        quarantine::merge_record(self.m_gate.m_quarantine, record, context.m_now);
+    }
     auto& state = self.m_recovery;
     if (state.m_is_complete || !response.m_is_complete) {
         return;
@@ -133,7 +201,7 @@
     auto& answer = state.m_answers[sender.m_name];
     answer.m_parts.insert(response.m_part);
     answer.m_is_whole = answer.m_is_whole || answer.m_parts.size() >= response.m_parts;
-    if (count_whole_answers(state) >= count_needed_answers(self.m_membership)) {
+    if (has_enough_answers(self, context)) {
         complete(state, context);
     }
 }
--- a/libraries/libwire/recovery_messages.h
+++ b/libraries/libwire/recovery_messages.h
@@ -7,6 +7,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace chivevane {
@@ -42,6 +43,24 @@
     }
 };
 
+/// What a host remembers of a request that crashed upstreams; see `crash_report`.
+struct crash_record {
+    std::uint64_t m_fingerprint = 0;
+    std::vector<std::string> m_crashed_runs;
+    std::uint32_t m_quarantines = 0;        ///< How often the request was quarantined.
+    std::uint64_t m_quarantine_left_ms = 0; ///< Time until its quarantine ends.
+    std::uint64_t m_lifetime_left_ms = 0;   ///< Time until it is forgotten.
+
+    bool operator==(const crash_record&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_fingerprint, m_crashed_runs, m_quarantines, m_quarantine_left_ms,
+                m_lifetime_left_ms);
+    }
+};
+
 /// Asks a host for what it remembers on behalf of others. A process sends it after its start.
 struct recovery_request {
     host_address m_address; ///< Address of the sender.
@@ -61,13 +80,14 @@
     std::uint16_t m_parts = 1;  ///< Number of parts of the answer.
     bool m_is_complete = false; ///< Whether the sender has finished its own recovery.
     std::vector<departure_entry> m_departures;
+    std::vector<crash_record> m_crash_records;
 
     bool operator==(const recovery_response&) const = default;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_part, m_parts, m_is_complete, m_departures);
+        archive(m_part, m_parts, m_is_complete, m_departures, m_crash_records);
     }
 };
 
--- a/tests/libpolicy/attempt_scenarios_test.cpp
+++ b/tests/libpolicy/attempt_scenarios_test.cpp
@@ -200,6 +200,58 @@
     }
 }
 
+namespace {
+
+/// Sends the crashing request to each host in turn, as long as `rounds` say.
+void send_crashing_request(fleet& tested, std::size_t rounds)
+{
+    for (std::size_t round = 0; round < rounds; ++round) {
+        for (std::size_t host = 0; host < 3; ++host) {
+            tested.call(host, "GET", "/killer");
+            tested.run_for(2s);
+        }
+    }
+}
+
+} // namespace
+
+/// Guards against a quarantine that only processes from before a series of restarts know.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_upstreams_is_still_refused_after_restarts_in_turn)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fleet tested{seed, {}};
+        run_crashing_request(tested, "GET", 10s);
+        BOOST_TEST(total(tested.m_crashes) == 2U);
+        for (int roll = 0; roll < 2; ++roll) {
+            for (std::size_t host = 0; host < 3; ++host) {
+                tested.restart(host);
+                tested.run_for(6s);
+            }
+            send_crashing_request(tested, 1);
+            BOOST_TEST(total(tested.m_crashes) == 2U, "seed " << seed);
+        }
+    }
+}
+
+/// Guards against two more crashes after each quarantine of a request that comes back for ever.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_upstreams_again_is_refused_for_longer)
+{
+    fleet tested{1, {}};
+    run_crashing_request(tested, "GET", 10s);
+    BOOST_TEST(total(tested.m_crashes) == 2U);
+    tested.run_for(60s);
+    send_crashing_request(tested, 1);
+    BOOST_TEST(total(tested.m_crashes) == 3U);
+    for (int minute = 1; minute <= 7; ++minute) {
+        tested.run_for(54s);
+        send_crashing_request(tested, 1);
+        BOOST_TEST(total(tested.m_crashes) == 3U, "minute " << minute);
+    }
+    tested.run_for(2min);
+    send_crashing_request(tested, 1);
+    BOOST_TEST(total(tested.m_crashes) == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_expires_and_a_naive_proxy_keeps_crashing_upstreams)
 {
     fleet tested{1, {}};
--- a/tests/libwire/datagram_fuzz_test.cpp
+++ b/tests/libwire/datagram_fuzz_test.cpp
@@ -81,7 +81,11 @@
     case 8:
         return recovery_request{random_address()};
     case 9:
-        return recovery_response{1, 2, true, {{{random_name(), random_name()}, random_number()}}};
+        return recovery_response{1,
+                                 2,
+                                 true,
+                                 {{{random_name(), random_name()}, random_number()}},
+                                 {{random_number(), {random_name()}, random_number()}}};
     default:
         return document_revisions_request{random_address(), random_number()};
     }
