limits: Grant only the part of a rate that a meter's part of the fleet has

Cause: hosts that cannot reach the meter choose another one, and each meter grants the whole rate and burst; a host that is cut off alone becomes the meter of all organisations. Evidence: metering_test on the code before, where four hosts alone started 849 requests in 5 s for 218 allowed, nearly the whole rate each.

Change: a meter grants the part of rate, burst and slack that its part of the hosts has. All hosts are those that may be running, dead ones included until they left or the store lists them no more. While tokens run short the meter asks the hosts itself, since gossip tells of a cut seconds late. When its part shrinks, the bucket loses what the smaller one would never have had. Hosts without a meter let through twice the slack together at most, half as much as before.

Why it works: the parts of all meters add up to one whatever the cut, store or clocks, since every part is counted against the same hosts; what is granted before the cut is known is within the slack.

Related paths: what a host decides without a meter and its part of the retry budgets were divided by the hosts in sight, too, and now by those that may be running. Limits of upstreams have one gate and are not affected.

Tests: metering/the_parts_of_a_divided_fleet_start_no_more_than_the_limit_together and metering/hosts_that_are_cut_off_alone_start_no_more_than_the_limit_together failed on the code before (5 failed checks, without the calls of new functions in their fixture); possible_host_counts is new.

--- a/libraries/libpolicy/ingress/probing.cpp
+++ b/libraries/libpolicy/ingress/probing.cpp
@@ -1,7 +1,7 @@
 #include "libpolicy/ingress/probing.h"
 
 #include "libpolicy/host_state.h"
-#include "libpolicy/membership/membership.h"
+#include "libpolicy/membership/possible_hosts.h"
 #include "libpolicy/placement/placement.h"
 
 #include <algorithm>
@@ -87,7 +87,8 @@
     if (!is_enabled(context)) {
         return {};
     }
-    const auto hosts = static_cast<double>(membership::count_live_peers(self.m_membership) + 1);
+    // Hosts that are cut off go on to spend their parts of the reserve.
+    const auto hosts = static_cast<double>(membership::count_possible_hosts(self.m_membership));
     const auto reserve = std::max(1.0, limits.m_reserve * reserve_fraction / hosts);
     return {limits.m_share, reserve, reserve};
 }
--- a/libraries/libpolicy/limits/metering.cpp
+++ b/libraries/libpolicy/limits/metering.cpp
@@ -1,6 +1,8 @@
 #include "libpolicy/limits/metering.h"
 
 #include "libbase/rendezvous.h"
+#include "libpolicy/limits/meter_bucket.h"
+#include "libpolicy/limits/meter_reach.h"
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
@@ -22,38 +24,10 @@
 constexpr duration idle_lifetime = 30s;
 constexpr duration sweep_interval = 5s;
 
-/// A new meter starts with this fraction of the burst, since it knows nothing of the requests that
-/// started just before.
-constexpr double initial_fill_fraction = 0.4;
-
-/// Fraction of the permitted slack that one meter admits beyond the burst, since callers' bursts
-/// arrive closer together than they were sent. The rest is left for the meters that replace it.
-constexpr double slack_fraction_per_meter = 0.25;
-
-/// Number of requests that a host may start at once while no meter answers, if slack is permitted.
-constexpr double min_local_burst = 2;
-
 /// Retry delay for requests that come before a started host knows any other. It reads the list of
 /// hosts within this time.
 constexpr duration unknown_fleet_retry_delay = 1s;
 
-/// Bound on the sum of these requests over all hosts, relative to the permitted slack.
-constexpr double min_local_bursts_per_slack = 4;
-
-void refill(token_bucket& bucket, double rate, double bound, instant now)
-{
-    const auto refilled = rate * to_seconds(now - bucket.m_updated_at);
-    bucket.m_tokens = std::min(bound, bucket.m_tokens + refilled);
-    bucket.m_updated_at = now;
-}
-
-duration time_to_token(const token_bucket& bucket, double rate)
-{
-    constexpr double longest_wait_s = 5;
-    const auto missing = 1 - bucket.m_tokens;
-    return from_seconds(rate > 0 ? std::min(missing / rate, longest_wait_s) : longest_wait_s);
-}
-
 metered_account& account_of(metering_state& state, std::string_view organisation,
                             double initial_local_tokens, instant now)
 {
@@ -105,28 +79,6 @@
     return candidates;
 }
 
-/// The number of hosts that may decide locally: those that are known or registered.
-double count_hosts(const membership_state& members)
-{
-    const auto known = membership::count_live_peers(members);
-    return static_cast<double>(std::max(known, members.m_registration.m_registered.size()) + 1);
-}
-
-/// The number of requests that one meter admits beyond the burst.
-double meter_slack(const reducer_context& context)
-{
-    return context.m_settings.m_rate_slack * slack_fraction_per_meter;
-}
-
-/// The smallest bucket capacity for local decisions, however small an even fraction of the burst
-/// is. In a large fleet it is below one request.
-double min_local_burst_of(const reducer_context& context, const membership_state& members)
-{
-    const auto even_part =
-        context.m_settings.m_rate_slack * min_local_bursts_per_slack / count_hosts(members);
-    return std::min(min_local_burst, even_part);
-}
-
 /// Rounds a number of tokens up or down at random, such that the mean stays the same.
 double round_at_random(double tokens, random_engine& engine)
 {
@@ -134,26 +86,6 @@
     return whole + (uniform_fraction(engine) < tokens - whole ? 1 : 0);
 }
 
-/// Takes a token from the organisation's bucket on this host, which is its meter.
-token_response take_from_bucket(metering_state& state, const token_request& request, double slack,
-                                instant now)
-{
-    auto found = state.m_metered_buckets.find(request.m_organisation);
-    if (found == state.m_metered_buckets.end()) {
-        found = state.m_metered_buckets.emplace(request.m_organisation, metered_bucket{}).first;
-        found->second.m_bucket = {request.m_burst * initial_fill_fraction + slack, now};
-    }
-    auto& bucket = found->second.m_bucket;
-    refill(bucket, request.m_rate, request.m_burst + slack, now);
-    bucket.m_tokens -= request.m_locally_admitted;
-    if (bucket.m_tokens < 1) {
-        const auto wait = to_milliseconds(time_to_token(bucket, request.m_rate));
-        return {request.m_id, token_decision::refused, static_cast<std::uint32_t>(wait)};
-    }
-    bucket.m_tokens -= 1;
-    return {request.m_id, token_decision::granted, 0};
-}
-
 /// Records a refusal in the timeline and the log, with the values that it was based on.
 void record_refusal(reducer_context& context, const token_request& request, std::string_view meter,
                     duration waited, std::uint32_t retry_after_ms)
@@ -258,11 +190,11 @@
 
 /// Decides a request that waits at the meter itself.
 decision decide_as_meter(metering_state& state, reducer_context& context,
-                         const pending_token_request& pending)
+                         const membership_state& members, const pending_token_request& pending)
 {
     const auto& request = pending.m_token_request;
     return decision_of(context, request, request.m_meter, context.m_now - pending.m_first_sent_at,
-                       take_from_bucket(state, request, meter_slack(context), context.m_now));
+                       take_from_bucket(state, context, members, request));
 }
 
 /// Records that a meter left a request unanswered, and stops using it once it counts as silent.
@@ -270,6 +202,7 @@
 {
     const auto [entry, is_first] = state.m_silent_since.try_emplace(meter, now);
     if (!is_first && now - entry->second >= silence_threshold) {
+        record_no_answer(state.m_reach, meter, entry->second);
         state.m_silent_until[meter] = now + silence_penalty;
         state.m_silent_since.erase(entry);
     }
@@ -319,7 +252,7 @@
                                   now};
     account.m_locally_admitted = 0;
     if (pending.m_token_request.m_meter == context.m_settings.m_self.m_name) {
-        return decide_as_meter(state, context, pending);
+        return decide_as_meter(state, context, members, pending);
     }
     send_pending(state, pending, context, members);
     state.m_pending.emplace(pending.m_token_request.m_id, std::move(pending));
@@ -355,7 +288,7 @@
         emit(context, send_datagram{request.m_address, cached->m_response});
         return;
     }
-    const auto response = take_from_bucket(state, request, meter_slack(context), now);
+    const auto response = take_from_bucket(state, context, members, request);
     state.m_cached_responses.push_back({now, sender.m_name, response});
     emit(context, send_datagram{request.m_address, response});
 }
@@ -385,6 +318,7 @@
                             const membership_state& members)
 {
     const auto now = context.m_now;
+    ask_hosts(state.m_reach, context, members);
     for (auto entry = state.m_pending.begin(); entry != state.m_pending.end();) {
         auto& pending = entry->second;
         if (now < pending.m_next_retry_at) {
@@ -397,7 +331,7 @@
         }
         if (meter == context.m_settings.m_self.m_name) {
             state.m_deferred_decisions.push_back(
-                {pending.m_request_id, decide_as_meter(state, context, pending)});
+                {pending.m_request_id, decide_as_meter(state, context, members, pending)});
             entry = state.m_pending.erase(entry);
             continue;
         }
@@ -417,7 +351,7 @@
 
 instant next_metered_check(const metering_state& state)
 {
-    auto earliest = instant::max();
+    auto earliest = next_asking(state.m_reach);
     for (const auto& [id, pending] : state.m_pending) {
         earliest = std::min(earliest, pending.m_next_retry_at);
     }
--- a/libraries/libpolicy/limits/metering_state.h
+++ b/libraries/libpolicy/limits/metering_state.h
@@ -2,7 +2,9 @@
 
 #include "libbase/instant.h"
 #include "libpolicy/limits/decision.h"
+#include "libpolicy/limits/meter_reach.h"
 #include "libpolicy/limits/rate_limit.h"
+#include "libpolicy/limits/token_bucket.h"
 #include "libwire/token_messages.h"
 
 #include <cstdint>
@@ -15,12 +17,6 @@
 
 namespace chivevane {
 
-/// Tokens that are refilled at a rate up to a bound, both given by the caller.
-struct token_bucket {
-    double m_tokens = 0;
-    instant m_updated_at;
-};
-
 /// What this host stores for one organisation whose requests it receives.
 struct metered_account {
     token_bucket m_local_bucket; ///< An even fraction of the limit, used while no meter answers.
@@ -42,6 +38,8 @@
 /// The tokens of one organisation that this host meters.
 struct metered_bucket {
     token_bucket m_bucket; ///< Requests that other hosts started locally may make it negative.
+    double m_lowest_capacity = 0; ///< The lowest capacity of the last seconds.
+    instant m_lowest_at;          ///< When the bucket had it.
 };
 
 /// A response that is kept so that a retried request gets the same response.
@@ -72,6 +70,7 @@
     std::map<std::string, instant, std::less<>> m_silent_since;
     /// Silent meters are not used before this time, by host name.
     std::map<std::string, instant, std::less<>> m_silent_until;
+    meter_reach m_reach; ///< Limits what this host grants as a meter.
     std::vector<limits::deferred_decision> m_deferred_decisions;
     std::uint64_t m_last_id = 0; ///< The token request id assigned last.
     instant m_next_sweep;
--- a/libraries/libpolicy/membership/membership.cpp
+++ b/libraries/libpolicy/membership/membership.cpp
@@ -6,6 +6,7 @@
 #include "libpolicy/membership/host_records.h"
 #include "libpolicy/membership/own_record.h"
 #include "libpolicy/membership/peers.h"
+#include "libpolicy/membership/possible_hosts.h"
 #include "libpolicy/membership/registration.h"
 #include "libpolicy/membership/timing.h"
 
@@ -310,6 +311,7 @@
     push_again(state, context);
     maintain_departures(state, context);
     update_members(state, context);
+    update_possible_hosts(state);
     if (count_live_peers(state) == 0) {
         contact_candidates(state, context);
     }
--- a/libraries/libpolicy/membership/membership_state.h
+++ b/libraries/libpolicy/membership/membership_state.h
@@ -52,6 +52,7 @@
     /// Begin of the latest round of this host that other hosts are known to have learnt of.
     std::optional<instant> m_own_round_seen_at;
     registration_state m_registration;
+    std::size_t m_possible_hosts = 0; ///< Hosts that may be running; see possible_hosts.h.
     departure_table m_departures;
 };
 
--- a/libraries/libpolicy/membership/registration.cpp
+++ b/libraries/libpolicy/membership/registration.cpp
@@ -87,6 +87,7 @@
 void on_entries(registration_state& state, reducer_context& context, const store_entries& entries)
 {
     state.m_has_read_hosts = true;
+    state.m_last_read_at = context.m_now;
     state.m_registered.clear();
     for (const auto& entry : entries.m_entries) {
         auto host = decode_entry(entry.m_key.substr(hosts_prefix.size()), entry.m_value);
--- a/libraries/libpolicy/membership/registration_state.h
+++ b/libraries/libpolicy/membership/registration_state.h
@@ -30,6 +30,7 @@
     bool m_is_ended = false;         ///< The host leaves; no further calls are made.
     instant m_next_call;             ///< Time of the next call, unless a read is due before it.
     instant m_next_read;             ///< Time of the next read of the list of hosts.
+    instant m_last_read_at;          ///< When the list of hosts was last read.
     std::uint32_t m_failures = 0;    ///< Number of consecutive failed calls.
     std::uint32_t m_reads_without_peers = 0;   ///< Number of consecutive reads without a live peer.
     std::vector<registered_host> m_registered; ///< In the last read, except this host.
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -12,6 +12,7 @@
 #include "libpolicy/ingress/attempts.h"
 #include "libpolicy/ingress/ingress.h"
 #include "libpolicy/limits/limits.h"
+#include "libpolicy/limits/meter_reach.h"
 #include "libpolicy/limits/metering.h"
 #include "libpolicy/membership/membership.h"
 #include "libpolicy/recovery/recovery.h"
@@ -123,6 +124,7 @@
 void handle(host_state& self, reducer_context& context, const datagram_received& received)
 {
     const auto& sender = received.m_sender;
+    limits::record_contact(self.m_limits.m_metering.m_reach, sender.m_name, context.m_now);
     std::visit(
         overloaded{
             [&](const host_record& record) {
@@ -190,6 +192,10 @@
             [&](const token_response& response) {
                 limits::on_token_response(self.m_limits.m_metering, context, response);
             },
+            [&](const contact_request& request) {
+                emit(context, send_datagram{request.m_address, contact_response{}});
+            },
+            [](const contact_response&) {},
             [&](const departure_report& report) {
                 gate::on_departures_reported(self, context, report.m_departures);
             },
--- a/tests/libpolicy/metering_test.cpp
+++ b/tests/libpolicy/metering_test.cpp
@@ -1,6 +1,7 @@
 #include "libpolicy/limits/metering.h"
 
 #include "libbase/rendezvous.h"
+#include "libpolicy/limits/meter_reach.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -108,6 +109,29 @@
         }
     }
 
+    /// Cuts all paths between the hosts from the first index up to the second one and the others.
+    void cut(std::pair<std::size_t, std::size_t> part)
+    {
+        const auto is_inside = [&part](std::size_t index) {
+            return index >= part.first && index < part.second;
+        };
+        for (std::size_t from = 0; from < host_count; ++from) {
+            for (std::size_t to = 0; to < host_count; ++to) {
+                if (is_inside(from) != is_inside(to)) {
+                    m_cut.insert({from, to});
+                }
+            }
+        }
+    }
+
+    /// Gives all hosts on the other side of a cut this status.
+    void set_status_across_cuts(member_status status)
+    {
+        for (const auto& [from, to] : m_cut) {
+            m_hosts[from]->m_members.m_members.at(name_of(to)).m_status = status;
+        }
+    }
+
     void send_request(std::size_t index)
     {
         at_host(index, [&](metered_host& host, reducer_context& context) {
@@ -127,6 +151,10 @@
         std::erase_if(m_in_flight, [this](const auto& each) { return each.m_at <= m_now; });
         for (const auto& each : due) {
             at_host(each.m_to, [&](metered_host& host, reducer_context& context) {
+                limits::record_contact(host.m_state.m_reach, name_of(each.m_from), m_now);
+                if (const auto* asked = std::get_if<contact_request>(&each.m_message)) {
+                    emit(context, send_datagram{asked->m_address, contact_response{}});
+                }
                 if (const auto* request = std::get_if<token_request>(&each.m_message)) {
                     limits::on_token_request(host.m_state, context, host.m_members,
                                              {name_of(each.m_from), 1}, *request);
@@ -260,6 +288,54 @@
     BOOST_TEST(static_cast<double>(m_started - started) <= allowed_starts(5s));
 }
 
+/// Guards against two meters that grant the whole rate each while a data centre is cut off.
+BOOST_AUTO_TEST_CASE(the_parts_of_a_divided_fleet_start_no_more_than_the_limit_together)
+{
+    for (const std::size_t cut_off : {1U, 2U, 3U, 4U}) {
+        metering_fixture fleet;
+        fleet.cut({0, cut_off});
+        fleet.run_load(300, 5s);
+        BOOST_TEST(static_cast<double>(fleet.m_started) <= allowed_starts(5s), cut_off);
+        // Each part goes on to be served within its part of the rate.
+        BOOST_TEST(static_cast<double>(fleet.m_started) >= limit.m_rate * 5 * 0.8, cut_off);
+    }
+}
+
+/// Guards against hosts that are each cut off alone and know the others as dead, and so each grant
+/// the whole rate.
+BOOST_AUTO_TEST_CASE(hosts_that_are_cut_off_alone_start_no_more_than_the_limit_together)
+{
+    for (const auto status : {member_status::suspect, member_status::dead}) {
+        metering_fixture fleet;
+        for (std::size_t alone = 0; alone < 4; ++alone) {
+            fleet.cut({alone, alone + 1});
+            fleet.set_status_across_cuts(status);
+        }
+        fleet.run_load(20, 6s);
+        const auto started = fleet.m_started;
+        fleet.run_load(300, 5s);
+        BOOST_TEST(static_cast<double>(fleet.m_started - started) <= allowed_starts(5s));
+    }
+}
+
+/// Guards against a fleet that serves less for ever after a host died for good.
+BOOST_AUTO_TEST_CASE(the_whole_rate_is_granted_once_a_dead_host_is_not_registered_any_more)
+{
+    m_dead.insert({0, 1, 2});
+    for (const auto dead : m_dead) {
+        for (auto& host : m_hosts) {
+            auto& known = host->m_members.m_members.at(name_of(dead));
+            known.m_status = member_status::dead;
+            known.m_last_round_at = m_now - 3min;
+            host->m_members.m_registration.m_has_read_hosts = true;
+            host->m_members.m_registration.m_last_read_at = m_now;
+        }
+    }
+    run_load(300, 5s);
+    BOOST_TEST(static_cast<double>(m_started) >= limit.m_rate * 5);
+    BOOST_TEST(static_cast<double>(m_started) <= allowed_starts(5s));
+}
+
 /// Hosts that have just started know no other host, and must not all be the meter.
 BOOST_AUTO_TEST_CASE(hosts_that_restart_together_choose_one_meter)
 {
--- a/tests/libwire/datagram_fuzz_test.cpp
+++ b/tests/libwire/datagram_fuzz_test.cpp
@@ -55,7 +55,7 @@
 message random_message()
 {
     const attempt_id attempt{{random_name(), random_number()}, random_number(), random_number()};
-    switch (*rc::gen::inRange(0, 11)) {
+    switch (*rc::gen::inRange(0, 13)) {
     case 0:
         return random_host_record();
     case 1:
@@ -86,6 +86,10 @@
                                  true,
                                  {{{random_name(), random_name()}, random_number()}},
                                  {{random_number(), {random_name()}, random_number()}}};
+    case 10:
+        return contact_request{random_address()};
+    case 11:
+        return contact_response{};
     default:
         return document_revisions_request{random_address(), random_number()};
     }
