--- a/tests/libpolicy/attempt_scenarios_test.cpp
+++ b/tests/libpolicy/attempt_scenarios_test.cpp
@@ -252,6 +252,37 @@
     BOOST_TEST(total(tested.m_crashes) == 4U);
 }
 
+/// Guards against hosts that send to an upstream again that told them that it leaves, after a
+/// restart of the process beside it.
+BOOST_AUTO_TEST_CASE(an_upstream_that_said_that_it_leaves_gets_nothing_after_its_gate_restarts)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fleet tested{seed, {}};
+        std::size_t arrivals = 0;
+        tested.m_replace_answer = [&](std::size_t host, const request_head&,
+                                      upstream_answer answer) {
+            if (host == 1) {
+                ++arrivals;
+                answer.m_head.m_fields.push_back({"X-Leaving", "1"});
+            }
+            return answer;
+        };
+        const auto send_requests = [&tested](duration length) {
+            for (const auto end = tested.m_now + length; tested.m_now < end;) {
+                tested.call(0, "GET", "/notes");
+                tested.call(2, "GET", "/notes");
+                tested.run_for(20ms);
+            }
+        };
+        send_requests(1s);
+        BOOST_TEST(arrivals > 0U, "seed " << seed);
+        arrivals = 0;
+        tested.restart(1);
+        send_requests(10s);
+        BOOST_TEST(arrivals == 0U, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_expires_and_a_naive_proxy_keeps_crashing_upstreams)
 {
     fleet tested{1, {}};
