--- a/libraries/libpolicy/gate/quarantine.h
+++ b/libraries/libpolicy/gate/quarantine.h
@@ -79,7 +79,7 @@
 
 status request_status_of(const quarantine_state& state, std::uint64_t fingerprint, instant now);
 
-/// Whether the request is quarantined or was so before.
+/// Whether the request is quarantined, or was so before and is still suspected.
 bool was_quarantined(const quarantine_state& state, std::uint64_t fingerprint);
 
 /// All suspects of this host, as they are sent to a process that recovers.
--- a/libraries/libpolicy/limits/meter_reach.cpp
+++ b/libraries/libpolicy/limits/meter_reach.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
+#include <span>
 
 namespace chivevane::limits {
 
@@ -22,18 +23,38 @@
 /// Rounds that a host may leave unanswered, as datagrams get lost.
 constexpr int rounds_until_unreached = 4;
 
+/// Rounds after which a host is asked again that answered, or that counts as not reached.
+constexpr int rounds_between_checks = 5;
+
 /// How long a host counts as reached that was heard directly although gossip does not know it as
 /// usable.
 constexpr duration direct_contact_lifetime = 1s;
 
 constexpr duration update_interval = 50ms;
 
+/// Number of contacts from which on those with hosts that are gone are forgotten.
+constexpr std::size_t min_contacts = 64;
+
 duration round_interval_of(const membership_state& members)
 {
     const auto hosts = static_cast<std::int64_t>(membership::count_possible_hosts(members));
     return std::max<duration>(min_round_interval, hosts * round_interval_per_host);
 }
 
+/// Whether a host has been asked and may still answer in time.
+bool is_answer_due(const host_contact& contact, duration round_interval, instant now)
+{
+    return contact.m_asked_at &&
+           now - *contact.m_asked_at < rounds_until_unreached * round_interval;
+}
+
+bool is_asking_due(const host_contact& contact, duration round_interval, instant now)
+{
+    const auto last_contact = std::max(contact.m_heard_at, contact.m_last_asked_at);
+    return is_answer_due(contact, round_interval, now) || last_contact == instant{} ||
+           now - last_contact >= rounds_between_checks * round_interval;
+}
+
 bool is_reached(const meter_reach& reach, const membership::possible_host& host,
                 duration round_interval, instant now)
 {
@@ -45,14 +66,27 @@
         return contact.m_heard_at != instant{} &&
                now - contact.m_heard_at < direct_contact_lifetime;
     }
-    if (!contact.m_asked_at ||
-        now - *contact.m_asked_at < rounds_until_unreached * round_interval) {
+    if (!contact.m_asked_at || is_answer_due(contact, round_interval, now)) {
         return true;
     }
     // A host without a direct path is reached by way of others if a round of it began since.
     return host.m_member != nullptr && host.m_member->m_last_round_at > *contact.m_asked_at;
 }
 
+/// Forgets contacts with hosts that are gone, once there are many of them.
+void forget_other_hosts(meter_reach& reach, std::span<const membership::possible_host> hosts)
+{
+    if (reach.m_contacts.size() <= 2 * hosts.size() + min_contacts) {
+        return;
+    }
+    std::set<std::string_view> names;
+    for (const auto& host : hosts) {
+        names.insert(host.m_name);
+    }
+    std::erase_if(reach.m_contacts,
+                  [&names](const auto& each) { return !names.contains(each.first); });
+}
+
 /// Records in the log that this host reaches all others again, or no longer.
 void record_change(reducer_context& context, double before, double after)
 {
@@ -72,7 +106,8 @@
     if (found == reach.m_contacts.end()) {
         found = reach.m_contacts.emplace(host, host_contact{}).first;
     }
-    found->second = {now, std::nullopt};
+    found->second.m_heard_at = now;
+    found->second.m_asked_at.reset();
 }
 
 void record_no_answer(meter_reach& reach, const std::string& host, instant since)
@@ -98,6 +133,7 @@
     }
     reach.m_next_update = context.m_now + update_interval;
     const auto hosts = membership::possible_hosts(members);
+    forget_other_hosts(reach, hosts);
     const auto interval = round_interval_of(members);
     const auto reached = std::count_if(hosts.begin(), hosts.end(), [&](const auto& host) {
         return is_reached(reach, host, interval, context.m_now);
@@ -116,19 +152,16 @@
     }
     const auto interval = round_interval_of(members);
     reach.m_next_round = now + interval;
-    std::set<std::string_view> asked;
     for (const auto& host : membership::possible_hosts(members)) {
-        asked.insert(host.m_name);
         auto& contact = reach.m_contacts[std::string{host.m_name}];
-        if (contact.m_heard_at != instant{} && now - contact.m_heard_at < interval) {
+        if (!is_asking_due(contact, interval, now)) {
             continue;
         }
         contact.m_asked_at = contact.m_asked_at.value_or(now);
+        contact.m_last_asked_at = now;
         emit(context,
              send_datagram{*host.m_address, contact_request{context.m_settings.m_address}});
     }
-    std::erase_if(reach.m_contacts,
-                  [&asked](const auto& each) { return !asked.contains(each.first); });
 }
 
 instant next_asking(const meter_reach& reach)
--- a/libraries/libpolicy/limits/meter_reach.h
+++ b/libraries/libpolicy/limits/meter_reach.h
@@ -15,6 +15,7 @@
 struct host_contact {
     instant m_heard_at;                ///< Time of its last datagram.
     std::optional<instant> m_asked_at; ///< Time of the first request since then, if any.
+    instant m_last_asked_at;           ///< Time of the latest request.
 };
 
 /// Which hosts a meter reaches.
@@ -49,7 +50,8 @@
 /// Returns the hosts that this one reaches, itself included, divided by all that may be running.
 double reached_share(meter_reach& reach, reducer_context& context, const membership_state& members);
 
-/// Asks the hosts that were not heard recently, if it is time to.
+/// Asks the hosts that were not heard recently, if it is time to. One that does not answer is asked
+/// several times in short succession.
 void ask_hosts(meter_reach& reach, reducer_context& context, const membership_state& members);
 
 /// When `ask_hosts` is due.
--- a/libraries/libpolicy/reduce.cpp
+++ b/libraries/libpolicy/reduce.cpp
@@ -124,7 +124,9 @@
 void handle(host_state& self, reducer_context& context, const datagram_received& received)
 {
     const auto& sender = received.m_sender;
-    limits::record_contact(self.m_limits.m_metering.m_reach, sender.m_name, context.m_now);
+    if (self.m_settings.m_rate_mode == rate_mode::metered) {
+        limits::record_contact(self.m_limits.m_metering.m_reach, sender.m_name, context.m_now);
+    }
     std::visit(
         overloaded{
             [&](const host_record& record) {
--- a/libraries/libwire/contact_messages.h
+++ b/libraries/libwire/contact_messages.h
@@ -2,8 +2,6 @@
 
 #include "libwire/host_address.h"
 
-#include <cstdint>
-
 namespace chivevane {
 
 /// Asks a host to answer at once, to find out whether it is reachable.
@@ -19,16 +17,13 @@
     }
 };
 
-/// Response to a `contact_request`.
+/// Response to a `contact_request`. That it comes is all it says.
 struct contact_response {
-    std::uint8_t m_reserved = 0; ///< 0; other values are ignored.
-
     bool operator==(const contact_response&) const = default;
 
     template <typename Archive>
-    void serialize(Archive& archive)
+    void serialize(Archive&)
     {
-        archive(m_reserved);
     }
 };
 
