recovery: Divide what a process recovers by bytes

Found in the read-through: the parts of an answer held a fixed number of entries, so that with long names an answer did not fit into a datagram, was dropped, and left the process that started without what it had to recover until the time limit. Parts are now filled up to a size, as host records are.

--- a/libraries/libpolicy/recovery/recovery.cpp
+++ b/libraries/libpolicy/recovery/recovery.cpp
@@ -28,9 +28,14 @@
 constexpr duration first_request_interval = 200ms; ///< Doubles with each request.
 constexpr duration max_request_interval = 1s;
 
-/// Numbers of entries in one part of an answer, so that it fits into a datagram.
-constexpr std::size_t departures_per_part = 10;
-constexpr std::size_t crash_records_per_part = 5;
+/// Largest size in bytes of the entries in one part of an answer with more than one. The rest of
+/// the datagram holds names, addresses and the signature.
+constexpr std::size_t part_size = 900;
+
+/// Sizes in bytes of encoded entries without their names.
+constexpr std::size_t departure_overhead = 17;
+constexpr std::size_t crash_record_overhead = 30;
+constexpr std::size_t crashed_run_overhead = 2;
 
 bool has_answered(const recovery_state& state, const member& peer)
 {
@@ -115,19 +120,35 @@
     });
 }
 
-/// Returns a part of `entries`, which is divided into parts of `size` entries.
-template <typename Entry>
-std::vector<Entry> part_of(const std::vector<Entry>& entries, std::size_t part, std::size_t size)
+std::size_t size_in_bytes(const departure_entry& entry)
+{
+    return departure_overhead + entry.m_upstream.m_host.size() + entry.m_upstream.m_endpoint.size();
+}
+
+std::size_t size_in_bytes(const crash_record& record)
 {
-    const auto first = std::min(entries.size(), part * size);
-    const auto last = std::min(entries.size(), first + size);
-    return {entries.begin() + static_cast<std::ptrdiff_t>(first),
-            entries.begin() + static_cast<std::ptrdiff_t>(last)};
+    auto size = crash_record_overhead;
+    for (const auto& crashed_run : record.m_crashed_runs) {
+        size += crashed_run_overhead + crashed_run.size();
+    }
+    return size;
 }
 
-std::size_t count_parts(std::size_t entries, std::size_t size)
+/// Adds `entries` to the parts of an answer, beginning a new part whenever the last one is full.
+/// `list` is the member of a part that holds such entries.
+template <typename Entry>
+void add_entries(std::vector<recovery_response>& parts, std::vector<Entry> recovery_response::*list,
+                 const std::vector<Entry>& entries)
 {
-    return (entries + size - 1) / size;
+    std::size_t size = 0;
+    for (const auto& entry : entries) {
+        size += size_in_bytes(entry);
+        if (parts.empty() || size > part_size || (parts.back().*list).empty()) {
+            parts.emplace_back();
+            size = size_in_bytes(entry);
+        }
+        (parts.back().*list).push_back(entry);
+    }
 }
 
 void complete(recovery_state& state, reducer_context& context)
@@ -167,23 +188,19 @@
 
 void on_request(const host_state& self, reducer_context& context, const recovery_request& request)
 {
-    const auto departures = membership::list_departures(self.m_membership, context);
-    const auto records = quarantine::list_records(self.m_gate.m_quarantine, context.m_now);
-    const auto departure_parts = count_parts(departures.size(), departures_per_part);
-    const auto record_parts = count_parts(records.size(), crash_records_per_part);
-    const auto parts = std::max<std::size_t>(1, departure_parts + record_parts);
-    for (std::size_t part = 0; part < parts; ++part) {
-        recovery_response response{static_cast<std::uint16_t>(part),
-                                   static_cast<std::uint16_t>(parts),
-                                   self.m_recovery.m_is_complete};
-        if (part < departure_parts) {
-            response.m_departures = part_of(departures, part, departures_per_part);
-        }
-        else {
-            response.m_crash_records =
-                part_of(records, part - departure_parts, crash_records_per_part);
-        }
-        emit(context, send_datagram{request.m_address, std::move(response)});
+    std::vector<recovery_response> parts;
+    add_entries(parts, &recovery_response::m_departures,
+                membership::list_departures(self.m_membership, context));
+    add_entries(parts, &recovery_response::m_crash_records,
+                quarantine::list_records(self.m_gate.m_quarantine, context.m_now));
+    if (parts.empty()) {
+        parts.emplace_back(); // It tells that there is nothing to recover.
+    }
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        parts[index].m_part = static_cast<std::uint16_t>(index);
+        parts[index].m_parts = static_cast<std::uint16_t>(parts.size());
+        parts[index].m_is_complete = self.m_recovery.m_is_complete;
+        emit(context, send_datagram{request.m_address, std::move(parts[index])});
     }
 }
 
--- a/tests/libpolicy/restart_test.cpp
+++ b/tests/libpolicy/restart_test.cpp
@@ -207,4 +207,39 @@
     BOOST_TEST(is_offered(hosts, 2));
 }
 
+/// Guards against an answer to a recovery request that does not fit into a datagram and gets lost.
+BOOST_AUTO_TEST_CASE(every_part_of_what_a_process_recovers_fits_into_a_datagram)
+{
+    fleet hosts{2, 11};
+    hosts.start_all();
+    hosts.run_for(8s);
+    const std::string long_name(120, 'n');
+    std::vector<departure_entry> departures;
+    for (std::uint64_t run = 0; run < 100; ++run) {
+        departures.push_back({{long_name, long_name + std::to_string(run)}, run});
+        for (const auto* const crashed : {"a", "b", "c", "d"}) {
+            hosts.feed(0, datagram_received{
+                              {"host-001", 1}, 1, {}, crash_report{run, long_name + crashed}});
+        }
+    }
+    for (const auto& departure : departures) {
+        hosts.feed(0, datagram_received{{"host-001", 1}, 1, {}, departure_report{{departure}}});
+    }
+    std::size_t parts = 0;
+    hosts.m_on_datagram = [&parts](std::size_t, const host_address&, const datagram& sent) {
+        if (std::holds_alternative<recovery_response>(sent.m_message)) {
+            ++parts;
+            BOOST_TEST(!is_error(encode_datagram(sent, "secret")));
+        }
+    };
+    hosts.kill(1);
+    hosts.start(1);
+    hosts.run_for(2s);
+    BOOST_TEST(parts > 0U);
+    const auto& recovered = hosts.state_of(1);
+    BOOST_TEST(recovered.m_membership.m_departures.m_departures.size() == departures.size());
+    BOOST_TEST(recovered.m_gate.m_quarantine.m_suspects.size() == departures.size());
+    BOOST_TEST(recovered.m_recovery.m_is_complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
