libpolicy: Use views and clearer names for departures and meters

No change of behaviour; the suites metering, restarts, quarantines, attempt_scenarios and possible_host_counts pass.

--- a/libraries/libpolicy/gate/upstream_departures.cpp
+++ b/libraries/libpolicy/gate/upstream_departures.cpp
@@ -46,7 +46,7 @@
 }
 
 void on_departures_reported(host_state& self, reducer_context& context,
-                            const std::vector<departure_entry>& entries)
+                            std::span<const departure_entry> entries)
 {
     membership::merge_departures(self.m_membership, context, entries);
     for (auto& [endpoint, upstream] : self.m_gate.m_upstreams) {
--- a/libraries/libpolicy/gate/upstream_departures.h
+++ b/libraries/libpolicy/gate/upstream_departures.h
@@ -4,9 +4,7 @@
 #include "libpolicy/reducer_context.h"
 #include "libwire/recovery_messages.h"
 
-#include <cstdint>
-#include <string>
-#include <vector>
+#include <span>
 
 namespace chivevane {
 
@@ -26,6 +24,6 @@
 /// Merges departures that a peer reported, and takes upstreams of this gate out of use that a peer
 /// knows as departed.
 void on_departures_reported(host_state& self, reducer_context& context,
-                            const std::vector<departure_entry>& entries);
+                            std::span<const departure_entry> entries);
 
 } // namespace chivevane::gate
--- a/libraries/libpolicy/limits/meter_bucket.cpp
+++ b/libraries/libpolicy/limits/meter_bucket.cpp
@@ -64,10 +64,11 @@
             std::max(smallest, (request.m_burst + slack) * share)};
 }
 
-/// Reduces the capacity of a bucket. The tokens are those that it would have if it had always been
-/// so small, since another part of the fleet has had the rest. If the capacity grows again, the
-/// tokens stay, and the smaller capacity counts for some time more.
-void limit_capacity(metered_bucket& bucket, double max_tokens, instant now)
+/// Applies the present capacity to a bucket. If it is smaller than before, the tokens become those
+/// that it would have if it had always been so small, since another part of the fleet has had the
+/// rest. If the capacity grows again, the tokens stay, and the smaller capacity counts for some
+/// time more.
+void apply_capacity(metered_bucket& bucket, double max_tokens, instant now)
 {
     if (max_tokens < bucket.m_lowest_capacity) {
         bucket.m_bucket.m_tokens -= bucket.m_lowest_capacity - max_tokens;
@@ -78,15 +79,15 @@
     }
 }
 
-metered_bucket& find_or_add_bucket(metering_state& state, const std::string& organisation,
+metered_bucket& find_or_add_bucket(metering_state& state, std::string_view organisation,
                                    const meter_limit& limit, instant now)
 {
-    auto found = state.m_metered_buckets.find(organisation);
-    if (found == state.m_metered_buckets.end()) {
-        metered_bucket added{{limit.m_initial_tokens, now}, limit.m_max_tokens, now};
-        found = state.m_metered_buckets.emplace(organisation, added).first;
+    auto& buckets = state.m_metered_buckets;
+    if (const auto found = buckets.find(organisation); found != buckets.end()) {
+        return found->second;
     }
-    return found->second;
+    const metered_bucket added{{limit.m_initial_tokens, now}, limit.m_max_tokens, now};
+    return buckets.emplace(organisation, added).first->second;
 }
 
 } // namespace
@@ -97,7 +98,7 @@
     const auto limit = meter_limit_of(state, context, members, request);
     auto& metered = find_or_add_bucket(state, request.m_organisation, limit, context.m_now);
     auto& bucket = metered.m_bucket;
-    limit_capacity(metered, limit.m_max_tokens, context.m_now);
+    apply_capacity(metered, limit.m_max_tokens, context.m_now);
     refill(bucket, limit.m_rate, limit.m_max_tokens, context.m_now);
     bucket.m_tokens -= request.m_locally_admitted;
     if (needs_reach(context, request, bucket.m_tokens)) {
--- a/libraries/libpolicy/limits/meter_reach.cpp
+++ b/libraries/libpolicy/limits/meter_reach.cpp
@@ -41,6 +41,14 @@
     return std::max<duration>(min_round_interval, hosts * round_interval_per_host);
 }
 
+host_contact& find_or_add_contact(meter_reach& reach, std::string_view host)
+{
+    if (const auto found = reach.m_contacts.find(host); found != reach.m_contacts.end()) {
+        return found->second;
+    }
+    return reach.m_contacts[std::string{host}];
+}
+
 /// Whether a host has been asked and may still answer in time.
 bool is_answer_due(const host_contact& contact, duration round_interval, instant now)
 {
@@ -102,17 +110,14 @@
 
 void record_contact(meter_reach& reach, std::string_view host, instant now)
 {
-    auto found = reach.m_contacts.find(host);
-    if (found == reach.m_contacts.end()) {
-        found = reach.m_contacts.emplace(host, host_contact{}).first;
-    }
-    found->second.m_heard_at = now;
-    found->second.m_asked_at.reset();
+    auto& contact = find_or_add_contact(reach, host);
+    contact.m_heard_at = now;
+    contact.m_asked_at.reset();
 }
 
-void record_no_answer(meter_reach& reach, const std::string& host, instant since)
+void record_no_answer(meter_reach& reach, std::string_view host, instant since)
 {
-    auto& contact = reach.m_contacts[host];
+    auto& contact = find_or_add_contact(reach, host);
     if (contact.m_heard_at < since) {
         contact.m_asked_at = std::min(since, contact.m_asked_at.value_or(since));
     }
@@ -153,7 +158,7 @@
     const auto interval = round_interval_of(members);
     reach.m_next_round = now + interval;
     for (const auto& host : membership::possible_hosts(members)) {
-        auto& contact = reach.m_contacts[std::string{host.m_name}];
+        auto& contact = find_or_add_contact(reach, host.m_name);
         if (!is_asking_due(contact, interval, now)) {
             continue;
         }
--- a/libraries/libpolicy/limits/meter_reach.h
+++ b/libraries/libpolicy/limits/meter_reach.h
@@ -42,7 +42,7 @@
 void record_contact(meter_reach& reach, std::string_view host, instant now);
 
 /// Records that `host` has left requests unanswered since `since`.
-void record_no_answer(meter_reach& reach, const std::string& host, instant since);
+void record_no_answer(meter_reach& reach, std::string_view host, instant since);
 
 /// Makes `ask_hosts` ask the other hosts for a while, as the tokens of an organisation run short.
 void require_reach(meter_reach& reach, instant now);
--- a/libraries/libpolicy/membership/departures.cpp
+++ b/libraries/libpolicy/membership/departures.cpp
@@ -30,7 +30,7 @@
 }
 
 /// Whether `entry` says something newer than what is known.
-bool is_news(const departure& known, const departure_entry& entry)
+bool is_newer(const departure& known, const departure_entry& entry)
 {
     if (entry.m_run != known.m_run) {
         return entry.m_run > known.m_run;
@@ -38,47 +38,48 @@
     return entry.m_phase == upstream_phase::draining && known.m_phase == upstream_phase::serving;
 }
 
-/// Stores `entry` unless it is no news. Returns the stored departure, or null.
-departure* store(departure_table& table, const departure_entry& entry, instant now)
+/// Puts `entry` into the table if it is newer than what is known. Returns the changed departure, or
+/// null.
+departure* update_departure(departure_table& table, const departure_entry& entry, instant now)
 {
     const auto known = table.m_departures.find(entry.m_upstream);
-    if (known != table.m_departures.end() && !is_news(known->second, entry)) {
+    if (known != table.m_departures.end() && !is_newer(known->second, entry)) {
         return nullptr;
     }
     if (known == table.m_departures.end() && table.m_departures.size() >= max_departures) {
         evict_oldest(table);
     }
-    auto& stored = table.m_departures[entry.m_upstream];
-    stored = {entry.m_run, entry.m_phase, now - std::chrono::milliseconds{entry.m_age_ms}};
-    return &stored;
+    auto& changed = table.m_departures[entry.m_upstream];
+    changed = {entry.m_run, entry.m_phase, now - std::chrono::milliseconds{entry.m_age_ms}};
+    return &changed;
 }
 
-/// Stores a departure of an upstream on this host and reports it to the peers.
-void store_and_report(membership_state& state, reducer_context& context,
-                      const departure_entry& entry)
+/// Records what an upstream on this host said, and reports it to the peers if it is new.
+void record_and_report(membership_state& state, reducer_context& context,
+                       const departure_entry& entry)
 {
-    if (auto* const stored = store(state.m_departures, entry, context.m_now)) {
-        stored->m_sends_left = departure_sends - 1;
+    if (auto* const changed = update_departure(state.m_departures, entry, context.m_now)) {
+        changed->m_sends_left = departure_sends - 1;
         send_to_record_receivers(state, context, departure_report{{entry}});
     }
 }
 
-upstream_id own_upstream(const reducer_context& context, const std::string& endpoint)
+upstream_id own_upstream(const reducer_context& context, std::string_view endpoint)
 {
-    return {context.m_settings.m_self.m_name, endpoint};
+    return {context.m_settings.m_self.m_name, std::string{endpoint}};
 }
 
 } // namespace
 
-void record_departure(membership_state& state, reducer_context& context,
-                      const std::string& endpoint, std::uint64_t run)
+void record_departure(membership_state& state, reducer_context& context, std::string_view endpoint,
+                      std::uint64_t run)
 {
-    store_and_report(state, context,
-                     {own_upstream(context, endpoint), run, upstream_phase::draining});
+    record_and_report(state, context,
+                      {own_upstream(context, endpoint), run, upstream_phase::draining});
 }
 
 void report_departure_to(const membership_state& state, reducer_context& context,
-                         std::string_view receiver, const std::string& endpoint)
+                         std::string_view receiver, std::string_view endpoint)
 {
     const auto* const peer = find_member(state, receiver);
     const auto known = state.m_departures.m_departures.find(own_upstream(context, endpoint));
@@ -90,21 +91,21 @@
     emit(context, send_datagram{peer->m_record.m_address, departure_report{{entry}}});
 }
 
-void record_arrival(membership_state& state, reducer_context& context, const std::string& endpoint,
+void record_arrival(membership_state& state, reducer_context& context, std::string_view endpoint,
                     std::uint64_t run)
 {
     const auto upstream = own_upstream(context, endpoint);
     if (state.m_departures.m_departures.contains(upstream)) {
-        store_and_report(state, context, {upstream, run, upstream_phase::serving});
+        record_and_report(state, context, {upstream, run, upstream_phase::serving});
     }
 }
 
 void merge_departures(membership_state& state, const reducer_context& context,
-                      const std::vector<departure_entry>& entries)
+                      std::span<const departure_entry> entries)
 {
     for (const auto& entry : entries) {
         if (std::chrono::milliseconds{entry.m_age_ms} < departure_lifetime) {
-            store(state.m_departures, entry, context.m_now);
+            update_departure(state.m_departures, entry, context.m_now);
         }
     }
 }
--- a/libraries/libpolicy/membership/departures.h
+++ b/libraries/libpolicy/membership/departures.h
@@ -7,7 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -47,22 +47,22 @@
 constexpr std::size_t max_departures = 4096;
 
 /// Records that a run of an upstream on this host left or is leaving, and reports it to the peers.
-void record_departure(membership_state& state, reducer_context& context,
-                      const std::string& endpoint, std::uint64_t run);
+void record_departure(membership_state& state, reducer_context& context, std::string_view endpoint,
+                      std::uint64_t run);
 
 /// Reports a departure to the host called `receiver`, unless `record_departure` reports it there.
 /// The answers of an upstream that leaves reach hosts of other data centres in a large fleet, too.
 void report_departure_to(const membership_state& state, reducer_context& context,
-                         std::string_view receiver, const std::string& endpoint);
+                         std::string_view receiver, std::string_view endpoint);
 
 /// Records that a run of an upstream on this host is serving. It is reported to the peers if they
 /// know an earlier run as departed.
-void record_arrival(membership_state& state, reducer_context& context, const std::string& endpoint,
+void record_arrival(membership_state& state, reducer_context& context, std::string_view endpoint,
                     std::uint64_t run);
 
 /// Merges departures that a peer reported. The latest run counts; of one run the departure counts.
 void merge_departures(membership_state& state, const reducer_context& context,
-                      const std::vector<departure_entry>& entries);
+                      std::span<const departure_entry> entries);
 
 /// Whether the latest run known of this upstream has departed.
 bool is_departed(const membership_state& state, const upstream_id& upstream);
--- a/libraries/libpolicy/recovery/recovery.cpp
+++ b/libraries/libpolicy/recovery/recovery.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -138,7 +139,7 @@
 /// `list` is the member of a part that holds such entries.
 template <typename Entry>
 void add_entries(std::vector<recovery_response>& parts, std::vector<Entry> recovery_response::*list,
-                 const std::vector<Entry>& entries)
+                 std::span<const Entry> entries)
 {
     std::size_t size = 0;
     for (const auto& entry : entries) {
@@ -189,10 +190,10 @@
 void on_request(const host_state& self, reducer_context& context, const recovery_request& request)
 {
     std::vector<recovery_response> parts;
-    add_entries(parts, &recovery_response::m_departures,
-                membership::list_departures(self.m_membership, context));
-    add_entries(parts, &recovery_response::m_crash_records,
-                quarantine::list_records(self.m_gate.m_quarantine, context.m_now));
+    const auto departures = membership::list_departures(self.m_membership, context);
+    add_entries<departure_entry>(parts, &recovery_response::m_departures, departures);
+    const auto records = quarantine::list_records(self.m_gate.m_quarantine, context.m_now);
+    add_entries<crash_record>(parts, &recovery_response::m_crash_records, records);
     if (parts.empty()) {
         parts.emplace_back(); // It tells that there is nothing to recover.
     }
