configuration: Log where the store stands and which documents are ignored

Answers of the store now carry its position (the era, if it names one, and its revision) up to the reducer, which logs store-read-again, store-went-back, store-history-lost and document-ignored, and counts the last two kinds in metrics.

No decision is changed.

--- a/libraries/libadmin/metrics_text.cpp
+++ b/libraries/libadmin/metrics_text.cpp
@@ -122,6 +122,15 @@
     writer.single_sample("may_serve", "gauge",
                          "1 if the documents in force are known to be current.",
                          configuration::may_serve(configuration, view.m_now) ? 1 : 0);
+    writer.single_sample("store_revision", "gauge",
+                         "Revision of the store when it last answered this host; 0 if unknown.",
+                         static_cast<double>(configuration.m_store_position.m_revision));
+    writer.single_sample("store_reversions_total", "counter",
+                         "Answers that showed that the store came back from an older copy.",
+                         static_cast<double>(configuration.m_store_reversions));
+    writer.single_sample("documents_ignored_total", "counter",
+                         "Documents of the store that were not newer than the one in force.",
+                         static_cast<double>(configuration.m_ignored_documents));
     writer.begin("document_revision", "gauge", "Revision in force on this host.");
     for (const auto& [name, in_force] : configuration.m_documents) {
         writer.sample(fmt::format("document=\"{}\"", name),
--- a/libraries/libpolicy/configuration/configuration_state.h
+++ b/libraries/libpolicy/configuration/configuration_state.h
@@ -101,9 +101,12 @@
     std::map<std::uint64_t, pending_write> m_writes;
     std::vector<pending_write> m_waiting_writes; ///< Writes that wait for a retry.
 
-    std::uint64_t m_store_revision = 0; ///< Start of the next watch; 0 if a full read is needed.
-    instant m_next_store_call;          ///< Time of the next read or watch.
-    instant m_store_called_at;          ///< Time of the last read or watch.
+    std::uint64_t m_store_revision = 0;    ///< Start of the next watch; 0 if a full read is needed.
+    store_position m_store_position;       ///< Where the store stood when it last answered.
+    std::uint64_t m_store_reversions = 0;  ///< Number of answers that showed that it went back.
+    std::uint64_t m_ignored_documents = 0; ///< Documents of the store that were not newer.
+    instant m_next_store_call;             ///< Time of the next read or watch.
+    instant m_store_called_at;             ///< Time of the last read or watch.
     bool m_is_store_call_pending = false;
     instant m_answer_overdue_at = instant::max(); ///< `max()` if no watcher's call is in progress.
     bool m_is_answer_rechecked = false; ///< The answer was overdue once, and is looked for again.
--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -6,6 +6,7 @@
 #include "libpolicy/configuration/document_write.h"
 #include "libpolicy/configuration/documents_in_force.h"
 #include "libpolicy/configuration/store_contact.h"
+#include "libpolicy/configuration/store_history.h"
 #include "libpolicy/membership/membership.h"
 
 #include <algorithm>
@@ -78,6 +79,26 @@
          store_watch{std::string{documents_prefix}, state.m_store_revision, length});
 }
 
+/// Logs a document of the store that differs from the one in force and is not newer.
+void record_if_ignored(configuration_state& state, reducer_context& context,
+                       const stored_document& stored)
+{
+    const auto held = state.m_documents.find(stored.m_name);
+    if (held == state.m_documents.end() || is_newer(state, revision_of(stored)) ||
+        revision_of(stored) == revision_of(held->second.m_stored)) {
+        return;
+    }
+    ++state.m_ignored_documents;
+    const auto& in_force = held->second.m_stored;
+    emit(context, record_event{"document-ignored",
+                               {{"document", stored.m_name},
+                                {"revision", std::to_string(stored.m_revision)},
+                                {"edit", stored.m_edit_id},
+                                {"revision_in_force", std::to_string(in_force.m_revision)},
+                                {"edit_in_force", in_force.m_edit_id}},
+                               record_target::timeline_and_log});
+}
+
 void adopt_entry(configuration_state& state, reducer_context& context, const store_entry& entry)
 {
     if (entry.m_version == 0) {
@@ -94,6 +115,7 @@
                                    record_target::timeline_and_log});
         return;
     }
+    record_if_ignored(state, context, read->m_stored);
     auto name = read->m_stored.m_name;
     if (put_in_force(state, context, std::move(read->m_stored),
                      std::move(read->m_parsed_document))) {
@@ -104,6 +126,7 @@
 void adopt_entries(configuration_state& state, reducer_context& context,
                    const store_response& response, const store_entries& entries)
 {
+    record_position(state, context, entries);
     for (const auto& entry : entries.m_entries) {
         adopt_entry(state, context, entry);
     }
--- a/libraries/libstore/store_json.cpp
+++ b/libraries/libstore/store_json.cpp
@@ -65,6 +65,8 @@
     }
     if (body.contains("entries")) {
         store_entries found{body.at("revision"), {}};
+        found.m_position = {body.value("era", std::uint64_t{0}),
+                            body.value("as_of", std::uint64_t{0})};
         for (const auto& object : body.at("entries")) {
             found.m_entries.push_back(entry_from(object));
         }
@@ -141,7 +143,10 @@
                 for (const auto& entry : found.m_entries) {
                     entries.push_back(to_json(entry));
                 }
-                const json body{{"revision", found.m_revision}, {"entries", std::move(entries)}};
+                const json body{{"revision", found.m_revision},
+                                {"entries", std::move(entries)},
+                                {"era", found.m_position.m_era},
+                                {"as_of", found.m_position.m_revision}};
                 return store_response_text{200, body.dump()};
             },
             [](const store_written& written) {
--- a/libraries/libstore/store_model.cpp
+++ b/libraries/libstore/store_model.cpp
@@ -16,7 +16,7 @@
 
 store_outcome read(const store_model& store, const store_read& operation)
 {
-    store_entries found{store.m_revision, {}};
+    store_entries found{store.m_revision, {}, {store.m_era, store.m_revision}};
     for (const auto& [key, item] : store.m_entries) {
         if (key.starts_with(operation.m_prefix) && item.m_entry.m_version != 0) {
             found.m_entries.push_back(item.m_entry);
@@ -27,7 +27,7 @@
 
 store_outcome watch(const store_model& store, const store_watch& operation)
 {
-    store_entries found{store.m_revision, {}};
+    store_entries found{store.m_revision, {}, {store.m_era, store.m_revision}};
     for (const auto& [key, item] : store.m_entries) {
         if (key.starts_with(operation.m_prefix) && item.m_changed_at > operation.m_after_revision) {
             found.m_entries.push_back(item.m_entry);
--- a/libraries/libstore/store_model.h
+++ b/libraries/libstore/store_model.h
@@ -26,6 +26,7 @@
 /// An in-memory model of those parts of the platform's store that hosts use. The store stand-in and
 /// the tests use it.
 struct store_model {
+    std::uint64_t m_era = 1; ///< Rises with each return from an older copy.
     std::uint64_t m_revision = 0;
     std::uint64_t m_last_lease = 0;
     std::map<std::string, modelled_entry, std::less<>> m_entries;
--- a/libraries/libwire/store_operation.h
+++ b/libraries/libwire/store_operation.h
@@ -70,10 +70,19 @@
 using store_operation = std::variant<store_read, store_compare_and_swap, store_grant_lease,
                                      store_renew_lease, store_revoke_lease, store_watch>;
 
-/// Result of a read or a watch, with the store revision at which it was taken.
+/// A point in the history of the store. A store that comes back from an older copy starts a new
+/// era, in which it gives out revisions again.
+struct store_position {
+    std::uint64_t m_era = 0;      ///< 0 if the store names none.
+    std::uint64_t m_revision = 0; ///< 0 if it is unknown.
+    auto operator<=>(const store_position&) const = default;
+};
+
+/// Result of a read or a watch.
 struct store_entries {
-    std::uint64_t m_revision = 0;
+    std::uint64_t m_revision = 0;       ///< The next watch begins after it; 0 if it cannot.
     std::vector<store_entry> m_entries; ///< Deleted keys have version 0.
+    store_position m_position;          ///< Where the store stood when it answered.
     bool operator==(const store_entries&) const = default;
 };
 
--- a/tests/libpolicy/store_stub.cpp
+++ b/tests/libpolicy/store_stub.cpp
@@ -6,7 +6,7 @@
 
 store_entries store_stub::read(std::string_view prefix, std::uint64_t after) const
 {
-    store_entries found{m_revision, {}};
+    store_entries found{m_revision, {}, {0, m_revision}};
     for (const auto& [key, held] : m_entries) {
         if (key.starts_with(prefix) && held.m_revision > after) {
             found.m_entries.push_back(held.m_entry);
