--- a/tests/libpolicy/fleet_fixture.cpp
+++ b/tests/libpolicy/fleet_fixture.cpp
@@ -288,6 +288,12 @@
         schedule(from, silence_timeout, unknown);
         return;
     }
+    const bool is_of_document = item.m_purpose == store_purpose::document_read ||
+                                item.m_purpose == store_purpose::document_watch;
+    if (m_run_document_call && is_of_document) {
+        m_run_document_call(from, item);
+        return;
+    }
     auto answers = m_store.handle(from, item, m_now);
     const bool is_write = std::holds_alternative<store_compare_and_swap>(item.m_operation);
     const bool is_unanswered = m_store_mode == store_mode::unanswered ||
@@ -300,6 +306,11 @@
     schedule_answers(answers);
 }
 
+void fleet::answer_call(std::size_t target, const store_response& response)
+{
+    schedule(target, store_latency, response);
+}
+
 void fleet::schedule_answers(const std::vector<store_stub::answer>& answers)
 {
     for (const auto& due : answers) {
--- a/tests/libpolicy/fleet_fixture.h
+++ b/tests/libpolicy/fleet_fixture.h
@@ -122,6 +122,11 @@
     /// Time by which the store's answer to a watch of a host is delayed; may be empty.
     std::function<duration(std::size_t)> m_watch_delay;
 
+    /// Runs the calls on documents in place of `m_store`, and answers them by `answer_call`; may be
+    /// empty.
+    std::function<void(std::size_t, const call_store&)> m_run_document_call;
+    void answer_call(std::size_t target, const store_response& response);
+
     /// Ends all waiting watches without an answer.
     void cut_watches();
 
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -57,8 +57,11 @@
         {ip, port},
         {[this](const received_request& request) { respond(request); }, [](std::uint64_t) {}},
         m_last_exchange};
-    std::shared_ptr<kv_store> m_store =
-        std::make_shared<kv_store>(m_client, ip_endpoint{ip, port}, 0.5);
+    std::shared_ptr<kv_store> m_store = std::make_shared<kv_store>(
+        [this](outgoing_request request, transfer_handlers handlers) {
+            m_client.start(m_client.make_transfer_id(), std::move(request), std::move(handlers));
+        },
+        ip_endpoint{ip, port}, 0.5);
 };
 
 const store_operation read_documents = store_read{"/chivevane/documents/"};
