configuration: Order documents by the era of the store before its revision

What callers saw: after the store had come back from a copy some seconds old, requests were run by dropped routes and refused on new ones, for as long as the store's revisions stayed below the one in force. Cause: a document's revision is the store's, the store gave revisions out again, and every host takes a document only if its revision is higher. The class: an order that rests on a counter which the other side may set back.

A document's revision now holds the era and the revision of the store as one number (store_position), which gossip, transfers, gates and older builds compare as before; the era is 0 until a return is known. In a new era the adapter keeps what the copy lost until the operator writes the key again: a configuration counts if it was written since, which its revision or its version shows, or once a watch reports it; evacuations are taken as the store has them after 5 s, since the end of a lost one leaves no change to see. A change that was ignored because the call began before the document in force was known is read again at once.

--- a/libraries/libpolicy/configuration/configuration.cpp
+++ b/libraries/libpolicy/configuration/configuration.cpp
@@ -7,6 +7,7 @@
 #include "libpolicy/configuration/store_contact.h"
 #include "libpolicy/configuration/store_reader.h"
 #include "libpolicy/membership/membership.h"
+#include "libwire/store_position.h"
 
 #include <algorithm>
 
@@ -84,8 +85,8 @@
          record_event{
              "document-fetched",
              {{"document", answer.m_name},
-              {"wanted", std::to_string(fetch.m_wanted.m_revision)},
-              {"revision", std::to_string(revision)},
+              {"wanted", describe_position(fetch.m_wanted.m_revision)},
+              {"revision", describe_position(revision)},
               {"waited_ms", std::to_string(to_milliseconds(context.m_now - fetch.m_requested_at))}},
              record_target::timeline_and_log});
 }
--- a/libraries/libpolicy/configuration/documents_in_force.cpp
+++ b/libraries/libpolicy/configuration/documents_in_force.cpp
@@ -3,6 +3,7 @@
 #include "libbase/digest.h"
 #include "libdocument/parse_document.h"
 #include "libpolicy/configuration/configuration.h"
+#include "libwire/store_position.h"
 
 #include <algorithm>
 #include <tuple>
@@ -87,7 +88,7 @@
 {
     record_event entry{std::move(name),
                        {{"document", stored.m_name},
-                        {"revision", std::to_string(stored.m_revision)},
+                        {"revision", describe_position(stored.m_revision)},
                         {"edit", stored.m_edit_id}},
                        record_target::timeline_and_log};
     if (!reason.empty()) {
--- a/libraries/libpolicy/configuration/store_reader.cpp
+++ b/libraries/libpolicy/configuration/store_reader.cpp
@@ -66,6 +66,19 @@
     emit(context, call_store{next_id(context), purpose, std::move(operation)});
 }
 
+/// Returns the document with the latest revision of those in force.
+known_document newest_document(const configuration_state& state)
+{
+    known_document newest;
+    for (const auto& [name, held] : state.m_documents) {
+        const auto& stored = held.m_stored;
+        if (stored.m_revision > newest.m_revision) {
+            newest = {stored.m_revision, stored.m_edit_id, stable_hash(stored.m_text)};
+        }
+    }
+    return newest;
+}
+
 void watch(configuration_state& state, reducer_context& context)
 {
     const auto& settings = context.m_settings;
@@ -76,7 +89,8 @@
         state.m_is_answer_rechecked = false;
     }
     call(state, context, store_purpose::document_watch,
-         store_watch{std::string{documents_prefix}, state.m_store_revision, length});
+         store_watch{std::string{documents_prefix}, state.m_store_revision, length,
+                     newest_document(state)});
 }
 
 /// Logs a document of the store that differs from the one in force and is not newer.
@@ -92,9 +106,9 @@
     const auto& in_force = held->second.m_stored;
     emit(context, record_event{"document-ignored",
                                {{"document", stored.m_name},
-                                {"revision", std::to_string(stored.m_revision)},
+                                {"revision", describe_position(stored.m_revision)},
                                 {"edit", stored.m_edit_id},
-                                {"revision_in_force", std::to_string(in_force.m_revision)},
+                                {"revision_in_force", describe_position(in_force.m_revision)},
                                 {"edit_in_force", in_force.m_edit_id}},
                                record_target::timeline_and_log});
 }
@@ -127,14 +141,17 @@
                    const store_response& response, const store_entries& entries)
 {
     record_position(state, context, entries);
+    const auto ignored_before = state.m_ignored_documents;
     for (const auto& entry : entries.m_entries) {
         adopt_entry(state, context, entry);
     }
     const bool has_reverted = entries.m_revision < state.m_store_revision;
     const bool is_watch = response.m_purpose == store_purpose::document_watch;
+    const bool is_ignored = state.m_ignored_documents != ignored_before;
     // The revision of a store that lost data may be lower than before. A watch then does not report
-    // all its entries, so they are read in full.
-    state.m_store_revision = has_reverted && is_watch ? 0 : entries.m_revision;
+    // all its entries, so they are read in full. The same holds where its change was ignored, as
+    // the call began before the document in force was known here.
+    state.m_store_revision = (has_reverted || is_ignored) && is_watch ? 0 : entries.m_revision;
     state.m_store_failures = 0;
     state.m_next_store_call =
         std::max(context.m_now, state.m_store_called_at + duration{shortest_call_interval});
@@ -215,7 +232,8 @@
     }
     if (state.m_store_revision == 0) {
         call(state, context, store_purpose::document_read,
-             store_read{std::string{documents_prefix}});
+             store_read{std::string{documents_prefix}, read_consistency::latest,
+                        newest_document(state)});
         return;
     }
     watch(state, context);
--- a/libraries/libpolicy/ingress/request_log.cpp
+++ b/libraries/libpolicy/ingress/request_log.cpp
@@ -3,6 +3,7 @@
 #include "libpolicy/host_state.h"
 #include "libpolicy/ingress/retry_budget.h"
 #include "libpolicy/membership/membership.h"
+#include "libwire/store_position.h"
 
 #include <fmt/format.h>
 
@@ -59,7 +60,7 @@
               {"route", request.m_route->m_name},
               {"service", request.m_service},
               {"organisation", request.m_organisation},
-              {"revision", std::to_string(request.m_revision)},
+              {"revision", describe_position(request.m_revision)},
               {"reason", std::string{to_string(reason.m_kind)}},
               {"outcome", reason.m_outcome == request_outcome::not_run ? "not-run" : "unknown"},
               {"attempts", attempt_summary_of(request)},
--- a/libraries/libwire/store_operation.h
+++ b/libraries/libwire/store_operation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libbase/instant.h"
+#include "libwire/store_position.h"
 
 #include <cstdint>
 #include <string>
@@ -22,10 +23,20 @@
 /// and is cheaper in some stores.
 enum class read_consistency : std::uint8_t { latest, recent };
 
+/// The newest document that a host has in force when it calls the store.
+struct known_document {
+    std::uint64_t m_revision = 0; ///< 0 if there is none.
+    std::string m_edit_id;
+    std::uint64_t m_text_hash = 0; ///< `stable_hash` of the text.
+
+    bool operator==(const known_document&) const = default;
+};
+
 /// Reads all keys that begin with `m_prefix`.
 struct store_read {
     std::string m_prefix;
     read_consistency m_consistency = read_consistency::latest;
+    known_document m_known; ///< Set for reads of documents.
     bool operator==(const store_read&) const = default;
 };
 
@@ -64,20 +75,13 @@
     std::string m_prefix;
     std::uint64_t m_after_revision = 0;
     duration m_timeout{};
+    known_document m_known; ///< Set for watches of documents.
     bool operator==(const store_watch&) const = default;
 };
 
 using store_operation = std::variant<store_read, store_compare_and_swap, store_grant_lease,
                                      store_renew_lease, store_revoke_lease, store_watch>;
 
-/// A point in the history of the store. A store that comes back from an older copy starts a new
-/// era, in which it gives out revisions again.
-struct store_position {
-    std::uint64_t m_era = 0;      ///< 0 if the store names none.
-    std::uint64_t m_revision = 0; ///< 0 if it is unknown.
-    auto operator<=>(const store_position&) const = default;
-};
-
 /// Result of a read or a watch.
 struct store_entries {
     std::uint64_t m_revision = 0;       ///< The next watch begins after it; 0 if it cannot.
--- a/tests/platform/operator_fleet.cpp
+++ b/tests/platform/operator_fleet.cpp
@@ -50,7 +50,8 @@
     const auto transport = [this](const outgoing_request& request, transfer_handlers handlers) {
         m_store.run(request, std::move(handlers), m_hosts.m_now);
     };
-    return std::make_shared<kv_store>(transport, ip_endpoint{"store", 1}, 0.5);
+    return std::make_shared<kv_store>(transport, ip_endpoint{"store", 1}, 0.5,
+                                      [this] { return m_hosts.m_now; });
 }
 
 void operator_fleet::start()
