--- a/tests/platform/operator_store.h
+++ b/tests/platform/operator_store.h
@@ -53,6 +53,7 @@
     /// Answers the watches that have changes or have timed out.
     void answer_watches(instant now);
 
+    std::uint64_t m_era = 1;
     bool m_names_era = true; ///< Whether answers have the header field with the era.
 
 private:
@@ -69,7 +70,6 @@
     std::string items(std::string_view prefix) const;
 
     content m_content;
-    std::uint64_t m_era = 1;
     bool m_is_away = false;
     std::vector<waiting_watch> m_watches;
 };
