host: Write the shared secret again after the store came back without it

Cause: a store that comes back from a copy older than the shared secret lacks it. The hosts that run keep theirs, but the next host that starts makes another one, and the two groups refuse each other's messages.

A host that learns of a return reads the key within 3 s at a random time, and writes the secret that it has if there is none (compare-and-swap, expected version 0). A secret that the store has is kept; if it is another one, the log has shared-secret-differs.

Evidence, x86-64, libhost.shared_secrets: without the call in host_process.cpp the store had no secret 15 s after the return; with it the store has the earlier one. A host that starts before the first of them has written it still makes another secret.

--- a/libraries/libhost/host_process.cpp
+++ b/libraries/libhost/host_process.cpp
@@ -39,6 +39,12 @@
     return body.empty() ? 0 : stable_hash(body);
 }
 
+/// Returns what changes once this host learns that the store came back from an older copy.
+std::pair<std::uint64_t, std::uint64_t> known_returns(const host_state& self)
+{
+    return {self.m_configuration.m_store_reversions, self.m_membership.m_registration.m_store_era};
+}
+
 } // namespace
 
 host_process::host_process(asio::io_context& loop, daemon_settings settings, platform_hooks hooks)
@@ -333,7 +339,12 @@
     if (const auto* end = std::get_if<transfer_ended>(&body)) {
         m_transfers.forget(end->m_transfer);
     }
+    const auto earlier_returns = known_returns(m_host_state);
     execute_all(reduce(m_host_state, {current_time(), current_wall_ms(), std::move(body)}));
+    if (const auto& key = m_settings.m_shared_secret_store_key;
+        !key.empty() && known_returns(m_host_state) != earlier_returns) {
+        restore_shared_secret(m_loop, m_store, key, m_settings.m_policy.m_shared_secret);
+    }
 }
 
 void host_process::set_timer()
--- a/libraries/libhost/shared_secret.cpp
+++ b/libraries/libhost/shared_secret.cpp
@@ -18,15 +18,21 @@
 /// that start together all try to create the secret.
 constexpr int max_initial_delay_ms = 150;
 
+/// Upper bound of the random delay before the read after a return of the store. All hosts learn of
+/// that within a second, and 2,400 of them then make 800 reads per second. Until the first of them
+/// has written the secret, a host that starts makes another one.
+constexpr int max_restoring_delay_ms = 3000;
+
 constexpr duration retry_interval = 250ms;
 
-/// The state of one call of `obtain_shared_secret`.
+/// The state of one call of `obtain_shared_secret` or `restore_shared_secret`.
 struct shared_secret_fetch : std::enable_shared_from_this<shared_secret_fetch> {
     shared_secret_fetch(asio::io_context& loop, store_runner store, std::string key,
-                        std::function<void(std::string)> on_secret)
+                        std::string proposed, std::function<void(std::string)> on_secret)
         : m_timer(loop),
           m_store(std::move(store)),
           m_key(std::move(key)),
+          m_proposed(std::move(proposed)),
           m_on_secret(std::move(on_secret))
     {
     }
@@ -66,7 +72,7 @@
     void create_secret()
     {
         m_consistency = read_consistency::latest;
-        m_store(store_compare_and_swap{m_key, 0, random_hex(secret_size)},
+        m_store(store_compare_and_swap{m_key, 0, m_proposed},
                 [self = shared_from_this()](const store_outcome& outcome) {
                     const bool is_stored = std::holds_alternative<store_written>(outcome) ||
                                            std::holds_alternative<store_conflict>(outcome);
@@ -89,21 +95,45 @@
     asio::steady_timer m_timer;
     store_runner m_store;
     std::string m_key;
+    std::string m_proposed; ///< The secret to write if the store has none.
     std::function<void(std::string)> m_on_secret;
     read_consistency m_consistency = read_consistency::recent;
     bool m_has_logged_failure = false;
 };
 
+duration random_delay(int longest_ms)
+{
+    std::random_device source;
+    return std::chrono::milliseconds{source() % static_cast<unsigned>(longest_ms)};
+}
+
 } // namespace
 
 void obtain_shared_secret(asio::io_context& loop, store_runner store, std::string key,
                           std::function<void(std::string)> on_secret)
 {
-    std::random_device source;
-    const std::chrono::milliseconds delay{source() % max_initial_delay_ms};
     std::make_shared<shared_secret_fetch>(loop, std::move(store), std::move(key),
-                                          std::move(on_secret))
-        ->read_after(delay);
+                                          random_hex(secret_size), std::move(on_secret))
+        ->read_after(random_delay(max_initial_delay_ms));
+}
+
+void restore_shared_secret(asio::io_context& loop, store_runner store, std::string key,
+                           std::string secret)
+{
+    auto warn_if_other = [key, secret](const std::string& stored) {
+        if (stored != secret) {
+            write_warning(
+                log_line{"shared-secret-differs"}
+                    .add("key", key)
+                    .add("remedy",
+                         "Hosts with this secret and those with the store's don't reach each "
+                         "other. Restart those with this secret."));
+        }
+    };
+    auto restoring = std::make_shared<shared_secret_fetch>(loop, std::move(store), std::move(key),
+                                                           std::move(secret), warn_if_other);
+    restoring->m_consistency = read_consistency::latest;
+    restoring->read_after(random_delay(max_restoring_delay_ms));
 }
 
 } // namespace chivevane
