--- a/tests/platform/store_return_test.cpp
+++ b/tests/platform/store_return_test.cpp
@@ -269,6 +269,26 @@
     }
 }
 
+/// Guards against taking a copy from before an earlier return, with higher revisions than those
+/// since, for changes after the second return.
+BOOST_DATA_TEST_CASE(a_copy_from_before_an_earlier_return_is_not_put_in_force, seeds, seed)
+{
+    operator_fleet fleet{host_count, seed};
+    fleet.start();
+    const auto first_copy = fleet.m_store.current();
+    fleet.m_store.write_other_keys(50);
+    change_repeatedly(fleet, 1);
+    const auto second_copy = fleet.m_store.current();
+    return_from(fleet, first_copy);
+    fleet.m_hosts.run_for(10s);
+    change_repeatedly(fleet, 1);
+    return_from(fleet, second_copy);
+    fleet.m_hosts.run_for(stable_window);
+    BOOST_TEST(fleet.count_outdated() == 0U);
+    BOOST_TEST(count_late_hosts(fleet) == 0U);
+    BOOST_TEST(fleet.m_regressions == 0U);
+}
+
 /// Guards against hosts that missed the return, or started after it, bringing back older documents.
 BOOST_DATA_TEST_CASE(hosts_that_missed_the_return_follow_the_others, seeds, seed)
 {
