--- a/tests/platform/operator_fleet.cpp
+++ b/tests/platform/operator_fleet.cpp
@@ -1,5 +1,7 @@
 #include "platform/operator_fleet.h"
 
+#include "platform/wire_names.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <charconv>
@@ -76,12 +78,30 @@
 void operator_fleet::change_configuration()
 {
     ++m_newest_version;
-    write_configuration();
+    rewrite_configuration();
 }
 
 void operator_fleet::rewrite()
 {
-    write_configuration();
+    rewrite_configuration();
+    rewrite_evacuations();
+}
+
+void operator_fleet::rewrite_evacuations()
+{
+    std::vector<std::string> unwanted;
+    for (const auto& [key, item] : m_store.current().m_items) {
+        const bool is_evacuation = key.starts_with(evacuation_prefix);
+        const auto datacentre =
+            is_evacuation ? key.substr(evacuation_prefix.size()) : std::string{};
+        if (is_evacuation &&
+            !std::binary_search(m_evacuated.begin(), m_evacuated.end(), datacentre)) {
+            unwanted.push_back(key);
+        }
+    }
+    for (const auto& key : unwanted) {
+        m_store.remove(key);
+    }
     for (const auto& datacentre : m_evacuated) {
         m_store.put("op/evacuate/" + datacentre, "{}");
     }
@@ -89,7 +109,8 @@
 
 void operator_fleet::evacuate(const std::string& datacentre)
 {
-    m_evacuated.push_back(datacentre);
+    m_evacuated.insert(std::lower_bound(m_evacuated.begin(), m_evacuated.end(), datacentre),
+                       datacentre);
     m_store.put("op/evacuate/" + datacentre, "{}");
 }
 
@@ -144,7 +165,7 @@
     known = version;
 }
 
-void operator_fleet::write_configuration()
+void operator_fleet::rewrite_configuration()
 {
     m_store.put("op/config",
                 fmt::format(R"({{"version":"r{0}","routes":{{"r-{0}":{{"prefix":"/v{0}/",)"
--- a/tests/platform/operator_fleet.h
+++ b/tests/platform/operator_fleet.h
@@ -31,6 +31,10 @@
     /// The operator writes the newest version again, with the evacuations that are wanted.
     void rewrite();
 
+    /// The two parts of `rewrite`. Evacuations that are not wanted are removed.
+    void rewrite_configuration();
+    void rewrite_evacuations();
+
     void evacuate(const std::string& datacentre);
     void end_evacuation(const std::string& datacentre);
 
@@ -42,7 +46,7 @@
     std::size_t count_outdated() const;
 
     std::uint64_t m_newest_version = 0;
-    std::vector<std::string> m_evacuated;
+    std::vector<std::string> m_evacuated; ///< The evacuations that are wanted, in order of name.
     std::size_t m_regressions = 0; ///< Events after which a host had an older version than before.
     operator_store m_store;
     chivevane::test::control::fleet m_hosts;
@@ -50,7 +54,6 @@
 private:
     void run_call(std::size_t host, const call_store& call);
     void check_version(std::size_t host);
-    void write_configuration();
 
     /// The adapter and the newest version of each host's process.
     struct host_process {
--- a/tests/platform/operator_store.h
+++ b/tests/platform/operator_store.h
@@ -43,6 +43,7 @@
     /// Cuts all watches and refuses connections until `come_back`.
     void go_away();
     void come_back() { m_is_away = false; }
+    bool is_away() const { return m_is_away; }
 
     /// Comes back from `copy` in the next era.
     void come_back_from(content copy);
