--- a/tests/platform/soak_schedule.cpp
+++ b/tests/platform/soak_schedule.cpp
@@ -147,7 +147,9 @@
     if (kind == 6) {
         add_episode(
             plan, at, fmt::format("lose {}%", number),
-            [number](soak& run) { run.m_fleet.m_hosts.m_loss = 0.01 * number; },
+            [number](soak& run) {
+                run.m_fleet.m_hosts.m_loss = 0.01 * static_cast<double>(number);
+            },
             [](soak& run) { run.m_fleet.m_hosts.m_loss = 0; });
     }
     for (auto count = kind == 7 ? number / 4 : 0; count > 0; --count) {
